--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-PACKAGES = base policy rules http wire platform fleet router agent standins
-EDITABLE = $(foreach p,$(PACKAGES),-e packages/$(p))
+PACKAGES = base policy rules http wire platform fleet router agent standins direct
+EDITABLE = $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 CASE ?= overhead
 SEED ?= 1
 STEPS ?= 200
--- a/packages/base/src/pulley_base/__init__.py
+++ b/packages/base/src/pulley_base/__init__.py
@@ -1,6 +1,6 @@
 """Clock, errors, sentinels, logs and settings that every package shares."""
 
-from .clock import Clock, to_seconds
+from .clock import Clock, boot_time_ms, to_seconds
 from .errors import (
     ConnectionLost,
     ProtocolError,
@@ -25,6 +25,7 @@
     "TimedOut",
     "UNAVAILABLE",
     "UNKNOWN",
+    "boot_time_ms",
     "configure_logs",
     "log_event",
     "to_seconds",
--- a/packages/base/src/pulley_base/clock.py
+++ b/packages/base/src/pulley_base/clock.py
@@ -33,6 +33,11 @@
     return time.monotonic_ns() // 1_000_000
 
 
+def boot_time_ms() -> int:
+    """Read the time since the machine's start, suspension included, in ms."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
 def to_seconds(duration_ms: int | float) -> float:
     """Convert milliseconds to the seconds that asyncio takes; never negative."""
     return max(0.0, duration_ms / 1000.0)
--- /dev/null
+++ b/packages/direct/src/pulley_direct/__init__.py
@@ -0,0 +1,1 @@
+"""A router that takes callers' HTTP and sends it straight to endpoints."""
--- /dev/null
+++ b/packages/direct/src/pulley_direct/announcements.py
@@ -0,0 +1,38 @@
+"""A router's own entry in the store, kept alive by a lease."""
+
+import asyncio
+import logging
+
+from pulley_base import PulleyError, log_event, to_seconds
+
+from .routers import Router
+from .store_calls import StoreCalls
+
+logger = logging.getLogger(__name__)
+
+LEASE_MS = 10_000
+RENEW_MS = 3_000
+RETRY_MS = 1_000
+
+
+async def announce(store: StoreCalls, router: Router) -> None:
+    """Keep this router's entry in the store for as long as the task runs."""
+    lease = None
+    while True:
+        try:
+            lease = await keep_entry(store, router, lease)
+            await asyncio.sleep(to_seconds(RENEW_MS))
+        except PulleyError as error:
+            log_event(logger, "announcement_failed", error=str(error), lease=lease)
+            await asyncio.sleep(to_seconds(RETRY_MS))
+
+
+async def keep_entry(store: StoreCalls, router: Router, lease: int | None) -> int:
+    """Renew the lease, or take out one and write the entry; gives the lease."""
+    if lease is not None and await store.renew_lease(lease):
+        return lease
+    granted = await store.grant_lease(LEASE_MS)
+    settings = router.settings
+    address = f"{settings.ip}:{settings.peer_ports[0]}"
+    await store.announce(settings.instance, address, granted.lease)
+    return granted.lease
--- /dev/null
+++ b/packages/direct/src/pulley_direct/app.py
@@ -0,0 +1,123 @@
+"""A router's process: its listeners, its tasks, its start and its end."""
+
+import asyncio
+import logging
+import signal
+from collections.abc import Callable
+from dataclasses import replace
+
+from pulley_base import Clock, boot_time_ms, log_event, to_seconds
+from pulley_http import Request, Response, Server, start_server
+
+from .announcements import announce
+from .beliefs import Beliefs
+from .channels import ChannelPool, close_idle
+from .followers import WATCH_SHARE, follow_store
+from .front import handle_request
+from .loads import LoadTable, forget_missing
+from .models import Dialect, RouterSettings
+from .routers import Router
+from .store_calls import StoreCalls
+
+logger = logging.getLogger(__name__)
+
+READY_PATH = "/readyz"
+HOUSEKEEPING_MS = 500
+# The balancer asks for readiness each second and takes an instance out after two
+# misses; its last connections arrive up to then.
+LEAVE_ROTATION_MS = 3_500
+# Time kept for ending what is left before the process is killed.
+GRACE_MARGIN_MS = 300
+LOOK_MS = 50
+
+
+async def run_router(
+    settings: RouterSettings,
+    dialect: Dialect,
+    store: StoreCalls,
+    format_retry_after: Callable[[int], bytes],
+    reload: Callable[[], RouterSettings],
+) -> int:
+    """Serve until SIGTERM; gives the exit status."""
+    clock = Clock(boot_time_ms)
+    beliefs = Beliefs(clock)
+    router = Router(
+        settings, dialect, clock, beliefs, ChannelPool(clock), LoadTable(clock)
+    )
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, router, reload)
+    front = await listen(
+        settings.callers_address,
+        lambda request: handle_request(router, request),
+        clock=clock,
+        format_retry_after=format_retry_after,
+    )
+    await listen(settings.ready_address, lambda request: answer_ready(router, request))
+    log_event(logger, "started", instance=settings.instance, at_ms=clock.now_ms())
+    wait_ms = int(settings.bounds.configuration_ms * WATCH_SHARE)
+    tasks = [
+        asyncio.create_task(follow_store(store, beliefs, clock, wait_ms)),
+        asyncio.create_task(announce(store, router)),
+        asyncio.create_task(keep_house(router, front)),
+    ]
+    await stopped.wait()
+    await drain(router, front)
+    for task in tasks:
+        task.cancel()
+    log_event(logger, "stopped", n_in_flight=router.n_in_flight)
+    return 0
+
+
+async def listen(address: str, handler, **options) -> Server:
+    """Listen on IP:port."""
+    host, _, port = address.rpartition(":")
+    return await start_server(handler, host, int(port), **options)
+
+
+async def answer_ready(router: Router, request: Request) -> Response:
+    """Answer the balancer's question."""
+    if request.path != READY_PATH:
+        return Response(404)
+    ready = router.beliefs.configuration is not None and not router.draining
+    return Response(200 if ready else 503)
+
+
+async def keep_house(router: Router, front: Server) -> None:
+    """Forget what is gone, and keep the callers' limits as configured."""
+    while True:
+        await router.beliefs.changed.wait()
+        configuration = router.beliefs.configuration
+        if configuration is not None:
+            front.limits = replace(configuration.limits)
+        listed = set(router.beliefs.endpoints)
+        addresses = {one.address for one in router.beliefs.endpoints.values()}
+        close_idle(router.pool, addresses)
+        forget_missing(router.loads, listed)
+
+
+async def drain(router: Router, front: Server) -> None:
+    """Leave the rotation, finish what is in flight, and stop listening."""
+    clock = router.clock
+    started_ms = clock.now_ms()
+    end_ms = started_ms + router.settings.bounds.grace_ms - GRACE_MARGIN_MS
+    router.draining = True
+    front.draining = True
+    log_event(logger, "draining", n_in_flight=router.n_in_flight)
+    await asyncio.sleep(to_seconds(LEAVE_ROTATION_MS))
+    while front.connections and clock.now_ms() < end_ms:
+        for connection in list(front.connections):
+            connection.close_if_idle()
+        await asyncio.sleep(to_seconds(LOOK_MS))
+    front.listener.close()
+
+
+def reload_settings(router: Router, reload: Callable[[], RouterSettings]) -> None:
+    """Take in the settings file again; a bad file changes nothing."""
+    try:
+        router.settings = reload()
+    except Exception as error:
+        log_event(logger, "reload_refused", error=str(error))
+        return
+    log_event(logger, "reloaded", instance=router.settings.instance)
--- /dev/null
+++ b/packages/direct/src/pulley_direct/counters.py
@@ -0,0 +1,90 @@
+"""Counts of what the router did, and their text for Prometheus."""
+
+from bisect import bisect_left
+from collections import Counter
+from dataclasses import dataclass, field
+
+LATENCY_BUCKETS_MS = (10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
+
+
+@dataclass(slots=True)
+class Histogram:
+    """Counts by bucket; the last one is for all above the highest bound."""
+
+    counts: list[int] = field(
+        default_factory=lambda: [0] * (len(LATENCY_BUCKETS_MS) + 1)
+    )
+    total_ms: int = 0
+
+
+@dataclass(slots=True)
+class Counters:
+    """Requests by status, failures and refusals by reason, times to an answer."""
+
+    answers: Counter = field(default_factory=Counter)
+    refusals: Counter = field(default_factory=Counter)
+    retries: Counter = field(default_factory=Counter)
+    failures: Counter = field(default_factory=Counter)
+    first_byte: Histogram = field(default_factory=Histogram)
+
+
+def observe_ms(histogram: Histogram, duration_ms: int) -> None:
+    """Count one duration."""
+    histogram.counts[bisect_left(LATENCY_BUCKETS_MS, duration_ms)] += 1
+    histogram.total_ms += duration_ms
+
+
+def render_metrics(counters: Counters, gauges: dict[str, float]) -> bytes:
+    """Give all counters in Prometheus' text format.
+
+    The library is loaded at the first use: a router that nobody scrapes does
+    without its memory.
+    """
+    from prometheus_client.core import (
+        CollectorRegistry,
+        CounterMetricFamily,
+        GaugeMetricFamily,
+        HistogramMetricFamily,
+    )
+    from prometheus_client.exposition import generate_latest
+
+    def collect():
+        for name, label, counts in (
+            ("pulley_answers", "status", counters.answers),
+            ("pulley_refusals", "reason", counters.refusals),
+            ("pulley_retries", "reason", counters.retries),
+            ("pulley_attempt_failures", "reason", counters.failures),
+        ):
+            family = CounterMetricFamily(name, f"{name} by {label}", labels=[label])
+            for key, count in counts.items():
+                family.add_metric([str(key)], count)
+            yield family
+        for name, value in gauges.items():
+            yield GaugeMetricFamily(name, name, value=value)
+        histogram = HistogramMetricFamily(
+            "pulley_first_byte_ms", "time to the first byte of an answer, in ms"
+        )
+        histogram.add_metric(
+            [], list(bucket_pairs(counters.first_byte)), counters.first_byte.total_ms
+        )
+        yield histogram
+
+    registry = CollectorRegistry()
+    registry.register(_Source(collect))
+    return generate_latest(registry)
+
+
+class _Source:
+    """What the registry asks for its families."""
+
+    def __init__(self, collect):
+        self.collect = collect
+
+
+def bucket_pairs(histogram: Histogram):
+    """Yield each bucket's upper bound with the count of all up to it."""
+    total = 0
+    bounds = [str(bound) for bound in LATENCY_BUCKETS_MS] + ["+Inf"]
+    for bound, count in zip(bounds, histogram.counts):
+        total += count
+        yield bound, total
--- /dev/null
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -0,0 +1,244 @@
+"""Bringing one request to an answer: attempts, retries and refusals."""
+
+import logging
+from random import random
+
+from pulley_base import Outcome, Reason, log_event
+from pulley_http import RequestRefused, Response, end_to_end
+from pulley_policy.retries import RetryBudget
+from pulley_policy.spreads import Option, choose_idle, choose_warm
+
+from .attempts import (
+    MISDIRECTED,
+    Exchange,
+    end_exchange,
+    read_whole_body,
+    start_exchange,
+)
+from .beliefs import usable_endpoints
+from .jobs import AttemptFailed, Job
+from .loads import estimate_load, note_failure, note_success, state_of
+from .models import Endpoint, Kind
+from .routers import Router
+from .streams import open_stream
+
+logger = logging.getLogger(__name__)
+
+# Above this multiple of the mean a prompt goes to the next endpoint in rank; well
+# below the bound that must hold, as a router's estimates lag.
+WARM_FACTOR = 2.0
+# Each router takes this part of its share of the fleet's retry budget.
+BUDGET_MARGIN = 0.6
+FEWEST_ROUTERS = 4
+RETRY_AFTER_MS = 200
+SERVER_ERROR = 500
+
+
+async def dispatch(router: Router, job: Job) -> Response:
+    """Send a job to endpoints until there is an answer to pass on.
+
+    Raises RequestRefused where there is none.
+    """
+    earn_retry(router, job.service)
+    while True:
+        endpoint = choose_endpoint(router, job)
+        if endpoint is None:
+            return give_up(router, job, Reason.NO_ENDPOINT, "no endpoint is left")
+        try:
+            response = await attempt(router, job, endpoint)
+        except AttemptFailed as failure:
+            note_attempt_failure(router, job, failure)
+            reason = refuse_retry(router, job, failure)
+            if reason is not None:
+                return give_up(router, job, reason, str(failure))
+            continue
+        if response.status < SERVER_ERROR or not retry_error(router, job, response):
+            return response
+
+
+async def attempt(router: Router, job: Job, endpoint: Endpoint) -> Response:
+    """Make one attempt; raises AttemptFailed where it brings no answer."""
+    exchange = await start_exchange(router, job, endpoint, None)
+    try:
+        if exchange.facts.not_run or exchange.status == MISDIRECTED:
+            await read_rejection(exchange, job)
+        if exchange.facts.encoded:
+            raise AttemptFailed(Reason.ENGINE_ERROR, "an encoded body", endpoint)
+        if job.route.kind is Kind.STREAM and exchange.status < 300:
+            return await open_stream(router, job, exchange, resume_stream)
+        body = await read_whole_body(exchange, job.deadline_ms)
+    except BaseException:
+        end_exchange(exchange)
+        raise
+    end_exchange(exchange)
+    note_success(router.loads, endpoint.name)
+    headers = end_to_end(exchange.headers)
+    return Response(exchange.status, headers, body)
+
+
+async def read_rejection(exchange: Exchange, job: Job) -> None:
+    """Read the answer of an endpoint that did not run the request, and raise."""
+    await read_whole_body(exchange, job.deadline_ms)
+    reason = Reason.ENDPOINT_BUSY
+    if exchange.status == MISDIRECTED:
+        reason = Reason.WRONG_ENDPOINT
+    raise AttemptFailed(
+        reason, f"status {exchange.status}", exchange.endpoint, may_have_run=False
+    )
+
+
+async def resume_stream(
+    router: Router, job: Job, last_event_id: int | None
+) -> Exchange | None:
+    """Go on with a broken stream elsewhere; None where that is not possible."""
+    while may_send(job) and spend_retry(router, job, Reason.CONNECTION_LOST):
+        endpoint = choose_endpoint(router, job)
+        if endpoint is None:
+            return None
+        exchange = None
+        try:
+            exchange = await start_exchange(router, job, endpoint, last_event_id)
+            if exchange.status < 300 and not exchange.facts.encoded:
+                return exchange
+            await read_rejection(exchange, job)
+        except AttemptFailed as failure:
+            if exchange is not None:
+                end_exchange(exchange)
+            note_attempt_failure(router, job, failure)
+    return None
+
+
+def choose_endpoint(router: Router, job: Job) -> Endpoint | None:
+    """Give the endpoint for a job's next attempt, None where there is none."""
+    endpoints = {
+        one.name: one
+        for one in usable_endpoints(router.beliefs, job.service)
+        if one.name not in job.excluded
+    }
+    now_ms = router.clock.now_ms()
+    ready = [
+        name
+        for name in endpoints
+        if state_of(router.loads, name).held_until_ms <= now_ms
+    ]
+    options = [make_option(router, endpoints[name]) for name in ready or endpoints]
+    key = warm_key(job)
+    if key is None:
+        chosen = choose_idle(options, random)
+    else:
+        chosen = choose_warm(key, options, WARM_FACTOR)
+    return None if chosen is None else endpoints[chosen.name]
+
+
+def make_option(router: Router, endpoint: Endpoint) -> Option:
+    """Describe an endpoint to the decision."""
+    load = estimate_load(router.loads, endpoint.name)
+    return Option(endpoint.name, load, share=max(1, endpoint.slots))
+
+
+def warm_key(job: Job) -> bytes | None:
+    """Give what a prompt shares with others: all parts but its own last one."""
+    parts = job.call.parts
+    if not parts:
+        return None
+    shared = parts[-2] if len(parts) > 1 else parts[-1]
+    return shared.digest.encode()[:64]
+
+
+def note_attempt_failure(router: Router, job: Job, failure: AttemptFailed) -> None:
+    """Remember what a failed attempt says of its endpoint and of the job."""
+    name = failure.endpoint.name
+    job.excluded.add(name)
+    job.may_have_run = job.may_have_run or failure.may_have_run
+    router.counters.failures[failure.reason] += 1
+    held_until_ms = None
+    if failure.reason is not Reason.ENDPOINT_BUSY:
+        held_until_ms = note_failure(router.loads, name)
+    log_event(
+        logger,
+        "attempt_failed",
+        request=job.call.request_id,
+        endpoint=name,
+        reason=failure.reason,
+        detail=failure.args[0],
+        may_have_run=failure.may_have_run,
+        held_until_ms=held_until_ms,
+        n_sent=len(job.sent),
+        left_ms=job.deadline_ms - router.clock.now_ms(),
+    )
+
+
+def refuse_retry(router: Router, job: Job, failure: AttemptFailed) -> Reason | None:
+    """Say why a job is not sent again, None where it may be."""
+    if job.may_have_run and not job.route.repeatable:
+        return failure.reason
+    if job.deadline_ms <= router.clock.now_ms():
+        return Reason.DEADLINE
+    if not failure.reached:
+        return None
+    if not may_send(job):
+        return failure.reason
+    if not spend_retry(router, job, failure.reason):
+        return Reason.RETRY_BUDGET
+    return None
+
+
+def retry_error(router: Router, job: Job, response: Response) -> bool:
+    """Tell whether an endpoint's own error is worth another attempt."""
+    job.may_have_run = True
+    job.fallback = response
+    job.excluded.update(job.sent)
+    if not job.route.repeatable or not may_send(job):
+        return False
+    return spend_retry(router, job, Reason.ENGINE_ERROR)
+
+
+def may_send(job: Job) -> bool:
+    """Tell whether the route allows another endpoint to be sent to."""
+    return len(job.sent) < job.route.max_attempts
+
+
+def earn_retry(router: Router, service: str) -> None:
+    """Note a first attempt in the service's budget."""
+    budget = budget_of(router, service)
+    budget.maximum = budget_maximum(router)
+    budget.earn()
+
+
+def spend_retry(router: Router, job: Job, reason: Reason) -> bool:
+    """Take one retry from the service's budget; False where none is left."""
+    if not budget_of(router, job.service).spend():
+        return False
+    router.counters.retries[reason] += 1
+    return True
+
+
+def budget_of(router: Router, service: str) -> RetryBudget:
+    """Give this router's part of a service's retry budget."""
+    budget = router.budgets.get(service)
+    if budget is None:
+        maximum = budget_maximum(router)
+        ratio = router.settings.bounds.retry_ratio * BUDGET_MARGIN
+        budget = RetryBudget(ratio=ratio, maximum=maximum, left=maximum)
+        router.budgets[service] = budget
+    return budget
+
+
+def budget_maximum(router: Router) -> float:
+    """Give the retries that this router may have in hand at a time."""
+    n_routers = max(FEWEST_ROUTERS, len(router.beliefs.routers))
+    slack = router.settings.bounds.retry_slack * BUDGET_MARGIN
+    return max(1.0, slack / n_routers)
+
+
+def give_up(router: Router, job: Job, reason: Reason, detail: str) -> Response:
+    """Pass on an endpoint's own error, or raise the refusal that is true."""
+    if job.fallback is not None:
+        return job.fallback
+    late = job.deadline_ms <= router.clock.now_ms()
+    if job.may_have_run:
+        status = 504 if late else 502
+        raise RequestRefused(status, reason, detail, outcome=Outcome.UNKNOWN)
+    raise RequestRefused(503, reason, detail, retry_after_ms=RETRY_AFTER_MS)
+
+
--- /dev/null
+++ b/packages/direct/src/pulley_direct/events.py
@@ -0,0 +1,41 @@
+"""Server-sent events: whole events out of bytes, and their ids."""
+
+import re
+from dataclasses import dataclass, field
+
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+
+
+@dataclass(slots=True)
+class EventBuffer:
+    """Bytes of a stream that don't yet make a whole event.
+
+    ``last_id`` is the id of the last whole event that was taken out.
+    """
+
+    pending: bytes = b""
+    last_id: int | None = None
+    n_events: int = field(default=0)
+
+
+def take_events(buffer: EventBuffer, data: bytes) -> bytes:
+    """Add bytes and take out all whole events, empty where there are none.
+
+    >>> buffer = EventBuffer()
+    >>> take_events(buffer, b"id: 1\\n\\nid: 2")
+    b'id: 1\\n\\n'
+    >>> buffer.last_id, buffer.pending
+    (1, b'id: 2')
+    """
+    pending = buffer.pending + data
+    end = 0
+    for match in EVENT_END.finditer(pending):
+        end = match.end()
+        buffer.n_events += 1
+    buffer.pending = pending[end:]
+    whole = pending[:end]
+    ids = EVENT_ID.findall(whole)
+    if ids:
+        buffer.last_id = int(ids[-1])
+    return whole
--- /dev/null
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -0,0 +1,84 @@
+"""What a router knows of each endpoint's load and health."""
+
+from dataclasses import dataclass, field
+
+from pulley_base import Clock
+
+from .models import ReportedLoad
+
+# A report says little once its endpoint has had time to finish most requests.
+REPORT_LIFE_MS = 3_000
+HOLD_OFF_FIRST_MS = 250
+HOLD_OFF_MOST_MS = 4_000
+
+
+@dataclass(slots=True)
+class EndpointState:
+    """One endpoint as seen from here.
+
+    ``others`` is what the endpoint last reported beyond this router's own
+    requests, known at ``reported_ms``. It gets no work until ``held_until_ms``
+    unless no other endpoint is left.
+    """
+
+    in_flight: int = 0
+    others: float = 0.0
+    reported_ms: int = 0
+    n_failures: int = 0
+    held_until_ms: int = 0
+
+
+@dataclass(slots=True)
+class LoadTable:
+    """The states of all endpoints, by name."""
+
+    clock: Clock
+    states: dict[str, EndpointState] = field(default_factory=dict)
+
+
+def state_of(table: LoadTable, name: str) -> EndpointState:
+    """Give an endpoint's state, a new one for an unknown endpoint."""
+    return table.states.setdefault(name, EndpointState())
+
+
+def estimate_load(table: LoadTable, name: str) -> float:
+    """Give the requests that an endpoint probably holds now."""
+    state = table.states.get(name)
+    if state is None:
+        return 0.0
+    age_ms = table.clock.now_ms() - state.reported_ms
+    fresh = max(0.0, 1.0 - age_ms / REPORT_LIFE_MS)
+    return state.in_flight + state.others * fresh
+
+
+def note_report(table: LoadTable, name: str, report: ReportedLoad | None) -> None:
+    """Take in what an endpoint reported with an answer of ours."""
+    if report is None:
+        return
+    state = state_of(table, name)
+    held = report.running + report.waiting
+    state.others = max(0.0, held - state.in_flight)
+    state.reported_ms = table.clock.now_ms()
+
+
+def note_success(table: LoadTable, name: str) -> None:
+    """Note that an endpoint answered."""
+    state = state_of(table, name)
+    state.n_failures = 0
+    state.held_until_ms = 0
+
+
+def note_failure(table: LoadTable, name: str) -> int:
+    """Hold an endpoint off, longer with each failure in a row; gives until when."""
+    state = state_of(table, name)
+    hold_ms = min(HOLD_OFF_MOST_MS, HOLD_OFF_FIRST_MS << min(state.n_failures, 8))
+    state.n_failures += 1
+    state.held_until_ms = table.clock.deadline_ms(hold_ms)
+    return state.held_until_ms
+
+
+def forget_missing(table: LoadTable, listed: set[str]) -> None:
+    """Drop the states of endpoints that are no longer listed and hold nothing."""
+    idle = (name for name, state in table.states.items() if not state.in_flight)
+    for name in [name for name in idle if name not in listed]:
+        del table.states[name]
--- /dev/null
+++ b/packages/direct/src/pulley_direct/routers.py
@@ -0,0 +1,30 @@
+"""The state of one router, shared by the parts that handle its requests."""
+
+from dataclasses import dataclass, field
+
+from pulley_base import Clock
+from pulley_policy.retries import RetryBudget
+
+from .beliefs import Beliefs
+from .channels import ChannelPool
+from .counters import Counters
+from .loads import LoadTable
+from .models import Dialect, RouterSettings
+from .routes import RouteIndex
+
+
+@dataclass(slots=True)
+class Router:
+    """Everything that handling a request reads or changes."""
+
+    settings: RouterSettings
+    dialect: Dialect
+    clock: Clock
+    beliefs: Beliefs
+    pool: ChannelPool
+    loads: LoadTable
+    counters: Counters = field(default_factory=Counters)
+    budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    routes: RouteIndex = field(default_factory=RouteIndex)
+    n_in_flight: int = 0
+    draining: bool = False
--- /dev/null
+++ b/packages/direct/src/pulley_direct/routes.py
@@ -0,0 +1,75 @@
+"""Which route a request takes, and whose it is."""
+
+from dataclasses import dataclass, field
+
+from pulley_base import Outcome, Reason
+from pulley_http import RequestRefused
+
+from .models import Call, Configuration, Route, Share, Team
+
+
+@dataclass(slots=True)
+class RouteIndex:
+    """A configuration's routes by host and prefix; rebuilt for each version."""
+
+    version: int | None = None
+    by_host: dict[str, dict[str, Route]] = field(default_factory=dict)
+
+
+def refresh_index(index: RouteIndex, configuration: Configuration) -> None:
+    """Bring an index to a configuration's version."""
+    if index.version == configuration.version:
+        return
+    by_host: dict[str, dict[str, Route]] = {}
+    for route in configuration.routes:
+        by_host.setdefault(route.host, {})[route.prefix] = route
+    index.version = configuration.version
+    index.by_host = by_host
+
+
+def find_route(index: RouteIndex, host: str, path: str) -> Route | None:
+    """Give the route with the longest prefix of ``path``, None where none fits."""
+    prefixes = index.by_host.get(host)
+    if not prefixes:
+        return None
+    end = path.rfind("/")
+    while end >= 0:
+        route = prefixes.get(path[: end + 1])
+        if route is not None:
+            return route
+        end = path.rfind("/", 0, end)
+    return None
+
+
+def find_team(configuration: Configuration, route: Route, call: Call) -> Team | None:
+    """Give the team that a call's token belongs to, None on a public route.
+
+    Raises RequestRefused with 401 for an absent or unknown token.
+    """
+    if route.public or not configuration.needs_token:
+        return None
+    if call.token is None:
+        raise refuse_token(Reason.NO_TOKEN, "the request carries no token")
+    team = configuration.teams_by_token.get(call.token)
+    if team is None:
+        raise refuse_token(Reason.BAD_TOKEN, "the token is not known")
+    return team
+
+
+def refuse_token(reason: Reason, detail: str) -> RequestRefused:
+    """Refuse a caller that did not show who it is."""
+    return RequestRefused(401, reason, detail, outcome=Outcome.NOT_RUN, step="token")
+
+
+def draw_service(shares: tuple[Share, ...], point: float) -> str:
+    """Give the service at ``point``, in ``[0, 1)``, of a route's shares.
+
+    >>> draw_service((Share("a", 90.0), Share("b", 10.0)), 0.95)
+    'b'
+    """
+    left = point * sum(share.weight for share in shares)
+    for share in shares:
+        left -= share.weight
+        if left < 0:
+            return share.service
+    return shares[-1].service
--- /dev/null
+++ b/packages/direct/src/pulley_direct/signals.py
@@ -0,0 +1,45 @@
+"""A change that any number of tasks can wait for."""
+
+import asyncio
+from collections.abc import Callable
+
+from pulley_base import to_seconds
+
+
+class Signal:
+    """Wakes all who wait at each call of ``notify``."""
+
+    def __init__(self):
+        self.waiters: set[asyncio.Future] = set()
+
+    def notify(self) -> None:
+        """Wake all tasks that wait now."""
+        waiters, self.waiters = self.waiters, set()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait(self) -> None:
+        """Wait for the next call of ``notify``."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.add(waiter)
+        try:
+            await waiter
+        finally:
+            self.waiters.discard(waiter)
+
+
+async def wait_until(
+    signal: Signal, is_true: Callable[[], bool], timeout_ms: int
+) -> bool:
+    """Wait until a condition holds, looking at it at each signal.
+
+    Gives the condition's state at the end.
+    """
+    try:
+        async with asyncio.timeout(to_seconds(timeout_ms)):
+            while not is_true():
+                await signal.wait()
+    except TimeoutError:
+        return is_true()
+    return True
--- a/packages/http/src/pulley_http/connections.py
+++ b/packages/http/src/pulley_http/connections.py
@@ -1,6 +1,7 @@
 """The client's side of one connection: bytes from the loop straight into h11."""
 
 import asyncio
+import socket
 
 import h11
 
@@ -9,12 +10,19 @@
 READ_AHEAD_BYTES = 256 * 1024
 LOOKS_PER_STALL = 4
 
+# Whole seconds are the kernel's smallest steps for keep-alive probes.
+PROBE_AFTER_S = 1
+PROBE_EVERY_S = 1
+PROBES_LOST = 2
+
 
 class ClientConnection(asyncio.Protocol):
     """One connection to a server.
 
     What arrives goes to h11 at once; reading pauses while more than
-    ``READ_AHEAD_BYTES`` wait there. ``ended`` says that nothing more will come.
+    ``READ_AHEAD_BYTES`` wait there. ``ended`` says that nothing more will come,
+    ``broken`` that the connection did not end in good order: an answer that
+    lasts until the connection ends is then not whole.
     """
 
     def __init__(self, peer: str):
@@ -23,6 +31,7 @@
         self.transport = None
         self.arrived = None
         self.ended = False
+        self.broken = False
         self.paused = False
         self.n_unread = 0
         self.idle_since_ms = 0
@@ -50,6 +59,7 @@
         return False
 
     def connection_lost(self, exc):
+        self.broken = self.broken or (exc is not None and not self.ended)
         self.end()
         self.writable.set()
 
@@ -63,7 +73,8 @@
         """Tell h11, once, that nothing more will come."""
         if not self.ended:
             self.ended = True
-            self.h11.receive_data(b"")
+            if not self.broken:
+                self.h11.receive_data(b"")
         self.wake()
 
     def wake(self):
@@ -114,9 +125,13 @@
             self.transport.close()
 
 
-async def open_connection(peer: str, timeout_ms: int) -> ClientConnection:
+async def open_connection(
+    peer: str, timeout_ms: int, silence_ms: int | None = None
+) -> ClientConnection:
     """Open a connection to IP:port.
 
+    With ``silence_ms`` the connection breaks when its other end has not
+    acknowledged bytes, or answered keep-alive probes, for about that long.
     Raises ConnectionLost or TimedOut with the step ``connect``.
     """
     host, _, port = peer.rpartition(":")
@@ -130,9 +145,20 @@
         raise TimedOut("no connection in time", step="connect", peer=peer) from error
     except OSError as error:
         raise ConnectionLost(str(error), step="connect", peer=peer) from error
+    if silence_ms is not None:
+        detect_silence(connection.transport.get_extra_info("socket"), silence_ms)
     return connection
 
 
+def detect_silence(sock: socket.socket, silence_ms: int) -> None:
+    """Have the kernel end a connection whose other end is gone."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_LOST)
+
+
 async def write_bytes(connection: ClientConnection, data: bytes) -> None:
     """Write and wait while the server takes nothing more.
 
--- a/packages/http/src/pulley_http/problems.py
+++ b/packages/http/src/pulley_http/problems.py
@@ -1,6 +1,7 @@
 """RFC 9457 problem documents that say what became of a request."""
 
 import json
+from collections.abc import Callable
 from math import ceil
 
 from pulley_base import Outcome, PulleyError
@@ -67,7 +68,15 @@
     return json.dumps(document).encode()
 
 
-def problem_response(refusal: RequestRefused) -> Response:
+def whole_seconds(duration_ms: int) -> bytes:
+    """Give a Retry-After value in whole seconds, at least one."""
+    return b"%d" % max(1, ceil(duration_ms / 1000))
+
+
+def problem_response(
+    refusal: RequestRefused,
+    format_retry_after: Callable[[int], bytes] = whole_seconds,
+) -> Response:
     """Give the answer that a caller gets for a refusal."""
     headers = [
         (b"content-type", b"application/problem+json"),
@@ -75,8 +84,7 @@
         (b"pulley-reason", str(refusal.reason).encode()),
     ]
     if refusal.retry_after_ms is not None:
-        seconds = max(1, ceil(refusal.retry_after_ms / 1000))
-        headers.append((b"retry-after", str(seconds).encode()))
+        headers.append((b"retry-after", format_retry_after(refusal.retry_after_ms)))
     if refusal.status == 401:
         headers.append((b"www-authenticate", b"Bearer"))
     return Response(refusal.status, headers, problem_body(refusal))
--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -10,13 +11,14 @@
 from pulley_base import Clock, Reason, log_event, to_seconds, warn_event
 
 from .models import Limits, Request, Response, find_header
-from .problems import RequestRefused, problem_response
+from .problems import RequestRefused, problem_response, whole_seconds
 
 Handler = Callable[[Request], Awaitable[Response]]
 
 READ_AHEAD_BYTES = 256 * 1024
 LINGER_MS = 1_000
 HEADER_MARKS = len(": \r\n")
+FOLD = re.compile(rb"\n[ \t]")
 
 logger = logging.getLogger(__name__)
 
@@ -29,6 +31,7 @@
     limits: Limits
     clock: Clock
     on_refused: Callable[[RequestRefused], None]
+    format_retry_after: Callable[[int], bytes] = whole_seconds
     listener: asyncio.Server | None = None
     connections: set["HttpConnection"] = field(default_factory=set)
     draining: bool = False
@@ -48,6 +51,7 @@
     limits: Limits | None = None,
     clock: Clock | None = None,
     on_refused: Callable[[RequestRefused], None] = lambda refusal: None,
+    format_retry_after: Callable[[int], bytes] = whole_seconds,
 ) -> Server:
     """Listen on ``host:port`` and answer each request with ``handler``.
 
@@ -55,7 +59,8 @@
     other exception becomes a 500. When the caller hangs up, the task that
     runs the handler and its body is cancelled.
     """
-    server = Server(handler, limits or Limits(), clock or Clock(), on_refused)
+    limits, clock = limits or Limits(), clock or Clock()
+    server = Server(handler, limits, clock, on_refused, format_retry_after)
     loop = asyncio.get_running_loop()
     server.listener = await loop.create_server(
         lambda: HttpConnection(server), host, port, backlog=1024
@@ -172,11 +177,11 @@
             response = await self.server.handler(request)
         except RequestRefused as refusal:
             self.server.on_refused(refusal)
-            response = problem_response(refusal)
+            response = self.problem(refusal)
         except h11.RemoteProtocolError as error:
             refusal = refusal_for(error)
             self.server.on_refused(refusal)
-            response = problem_response(refusal)
+            response = self.problem(refusal)
         except Exception as error:
             warn_event(logger, "handler_failed", peer=self.peer, error=repr(error))
             logger.debug("handler_failed", exc_info=error)
@@ -185,6 +190,10 @@
         self.handling = False
         return self.may_continue()
 
+    def problem(self, refusal: RequestRefused) -> Response:
+        """Give the answer to a refusal."""
+        return problem_response(refusal, self.server.format_retry_after)
+
     def may_continue(self) -> bool:
         """Tell whether the connection can carry another request."""
         if self.server.draining or self.gone:
@@ -194,12 +203,12 @@
     async def read_head(self) -> h11.Request | None:
         """Give the next request's head, or None at the end."""
         limits = self.server.limits
-        event = self.next_event()
+        event = self.next_head()
         if event is h11.NEED_DATA:
             timeout_ms = limits.idle_timeout_ms
             if not await self.wait_for_data(timeout_ms):
                 return None
-            event = self.next_event()
+            event = self.next_head()
         started_ms = self.server.clock.now_ms()
         while event is h11.NEED_DATA:
             left_ms = started_ms + limits.head_timeout_ms - self.server.clock.now_ms()
@@ -207,9 +216,18 @@
                 raise RequestRefused(
                     408, Reason.HEAD_TOO_SLOW, "the head took too long", step="head"
                 )
-            event = self.next_event()
+            event = self.next_head()
         return event if isinstance(event, h11.Request) else None
 
+    def next_head(self):
+        """Give h11's next event where a head is due; folded lines are refused."""
+        head, _, _ = self.h11.trailing_data[0].partition(b"\r\n\r\n")
+        if FOLD.search(head):
+            raise RequestRefused(
+                400, Reason.BAD_REQUEST, "a header line is folded", step="head"
+            )
+        return self.next_event()
+
     def next_event(self):
         """Give h11's next event and read on when the buffer has emptied."""
         self.arrived.clear()
@@ -232,6 +250,7 @@
 
     def open_request(self, head: h11.Request) -> Request:
         """Make the request that the handler gets, its body still to come."""
+        check_framing(head)
         if head_bytes(head) > self.server.limits.head_bytes:
             raise head_too_large()
         length = find_header(head.headers, b"content-length")
@@ -341,6 +360,21 @@
             self.transport.write(data)
 
 
+def check_framing(head: h11.Request) -> None:
+    """Refuse a request that frames its body in two ways, or not in HTTP/1.1's."""
+    coded = find_header(head.headers, b"transfer-encoding")
+    if coded is None:
+        return
+    if find_header(head.headers, b"content-length") is not None:
+        raise RequestRefused(
+            400, Reason.BAD_REQUEST, "the body has two framings", step="head"
+        )
+    if head.http_version != b"1.1":
+        raise RequestRefused(
+            400, Reason.BAD_REQUEST, "chunks need HTTP/1.1", step="head"
+        )
+
+
 def head_bytes(head: h11.Request) -> int:
     """Give the size of a head as it was sent, but for blanks between its parts."""
     sizes = (len(key) + len(value) + HEADER_MARKS for key, value in head.headers)
