Keep shared contexts at one home and copy them where the home changes

Cause: most prices were for shared parts of prompts read again. Now homes are ranked from the list alone, and an endpoint that is not a prompt's former home is told to copy the context from there.

--- a/packages/base/src/pulley_base/__init__.py
+++ b/packages/base/src/pulley_base/__init__.py
@@ -1,6 +1,6 @@
 """Clock, errors, sentinels, logs and settings that every package shares."""
 
-from .clock import Clock, boot_time_ms, to_seconds
+from .clock import Clock, boot_time_ms, to_seconds, wall_time_ms
 from .errors import (
     ConnectionLost,
     ProtocolError,
@@ -29,5 +29,6 @@
     "configure_logs",
     "log_event",
     "to_seconds",
+    "wall_time_ms",
     "warn_event",
 ]
--- a/packages/base/src/pulley_base/clock.py
+++ b/packages/base/src/pulley_base/clock.py
@@ -38,6 +38,11 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
+def wall_time_ms() -> int:
+    """Read the time of day in Unix milliseconds; it may jump either way."""
+    return time.time_ns() // 1_000_000
+
+
 def to_seconds(duration_ms: int | float) -> float:
     """Convert milliseconds to the seconds that asyncio takes; never negative."""
     return max(0.0, duration_ms / 1000.0)
--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -6,8 +6,14 @@
 
 import h11
 
-from pulley_base import ConnectionLost, PulleyError, Reason, TimedOut, log_event
-from pulley_base import to_seconds
+from pulley_base import (
+    ConnectionLost,
+    PulleyError,
+    Reason,
+    TimedOut,
+    log_event,
+    to_seconds,
+)
 from pulley_http import Headers
 from pulley_http.connections import next_event, parse_event, read_more
 
@@ -15,6 +21,7 @@
 from .jobs import AttemptFailed, Job
 from .loads import note_report, state_of
 from .models import AnswerFacts, AttemptTerms, Endpoint
+from .placing import Target
 from .routers import Router
 
 logger = logging.getLogger(__name__)
@@ -37,19 +44,20 @@
 
 
 async def start_exchange(
-    router: Router, job: Job, endpoint: Endpoint, last_event_id: int | None
+    router: Router, job: Job, target: Target, last_event_id: int | None
 ) -> Exchange:
     """Send a job's request to an endpoint and read the head of its answer.
 
     Raises AttemptFailed. The exchange counts as in flight until
     ``end_exchange``.
     """
+    endpoint = target.endpoint
     state = state_of(router.loads, endpoint.name)
     state.in_flight += 1
     channel = None
     try:
         channel = await open_channel(router, endpoint)
-        return await send_on_channel(router, job, endpoint, channel, last_event_id)
+        return await send_on_channel(router, job, target, channel, last_event_id)
     except BaseException:
         state.in_flight -= 1
         if channel is not None:
@@ -74,13 +82,14 @@
 async def send_on_channel(
     router: Router,
     job: Job,
-    endpoint: Endpoint,
+    target: Target,
     channel: Channel,
     last_event_id: int | None,
 ) -> Exchange:
     """Write the request and read the answer's head, both before the deadline."""
+    endpoint = target.endpoint
     left_ms = max(1, job.deadline_ms - router.clock.now_ms())
-    headers = request_headers(router, job, endpoint, left_ms, last_event_id)
+    headers = request_headers(router, job, target, left_ms, last_event_id)
     request = h11.Request(
         method=job.call.method, target=job.call.target, headers=headers
     )
@@ -104,25 +113,24 @@
         raise AttemptFailed(Reason.CONNECTION_LOST, str(error), endpoint) from error
     note_report(router.loads, endpoint.name, facts.load)
     answer_headers = [(bytes(key), bytes(value)) for key, value in head.headers]
-    return Exchange(
-        router, endpoint, channel, head.status_code, answer_headers, facts
-    )
+    return Exchange(router, endpoint, channel, head.status_code, answer_headers, facts)
 
 
 def request_headers(
     router: Router,
     job: Job,
-    endpoint: Endpoint,
+    target: Target,
     left_ms: int,
     last_event_id: int | None,
 ) -> Headers:
     """Give the headers of one attempt, its body's length among them."""
     terms = AttemptTerms(
-        endpoint=endpoint.name,
+        endpoint=target.endpoint.name,
         left_ms=left_ms,
         team=None if job.team is None else job.team.name,
         priority=None,
         last_event_id=last_event_id,
+        context_source=target.context_source,
     )
     headers = router.dialect.attempt_headers(job.call, terms)
     headers = [pair for pair in headers if pair[0] != b"content-length"]
@@ -179,8 +187,9 @@
 
 async def skip_answer(channel: Channel) -> None:
     """Read an answer to its end."""
-    while not isinstance(await next_event(channel.connection, "body"), h11.EndOfMessage):
-        pass
+    event = None
+    while not isinstance(event, h11.EndOfMessage):
+        event = await next_event(channel.connection, "body")
 
 
 def restart_parser(channel: Channel, request: h11.Request, body: bytes) -> None:
--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from pulley_base import Clock, log_event
+from pulley_base import Clock, log_event, wall_time_ms
+from pulley_policy.homes import Place
 
 from .models import (
     Configuration,
@@ -23,6 +24,20 @@
 LAPSE_GRACE_MS = 2_200
 # Shorter gaps than this can't have made an entry lapse.
 OUTAGE_MS = 1_000
+# How long an endpoint counts as having joined or left lately: contexts that are
+# in use come up again within this time.
+CHURN_MS = 60_000
+# Endpoints that start this soon after a service's first one are there from its
+# beginning.
+FOUNDING_MS = 15_000
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """An endpoint that takes no new work any more, and since when."""
+
+    endpoint: Endpoint
+    since_ms: int
 
 
 @dataclass(slots=True)
@@ -32,14 +47,18 @@
     ``confirmed_ms`` is the last reading of the clock at which the store is known
     to have held nothing newer. ``lapsed`` holds the endpoints that went missing
     after an outage of the store, with the reading at which they count as gone.
+    ``departed`` holds those that left lately. ``wall`` reads the time of day, which
+    only tells how long ago an endpoint started.
     """
 
     clock: Clock
+    wall: Clock = field(default_factory=lambda: Clock(wall_time_ms))
     configuration: Configuration | None = None
     confirmed_ms: int | None = None
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     routers: dict[str, str] = field(default_factory=dict)
     lapsed: dict[str, int] = field(default_factory=dict)
+    departed: dict[str, Departure] = field(default_factory=dict)
     failing_since_ms: int | None = None
     outage_end_ms: int | None = None
     changed: Signal = field(default_factory=Signal)
@@ -124,6 +143,7 @@
     known = beliefs.endpoints.get(endpoint.name)
     beliefs.endpoints[endpoint.name] = endpoint
     beliefs.lapsed.pop(endpoint.name, None)
+    note_departure(beliefs, endpoint)
     if known is None or known.draining != endpoint.draining:
         log_event(
             logger,
@@ -135,6 +155,48 @@
         )
 
 
+def note_departure(beliefs: Beliefs, endpoint: Endpoint) -> None:
+    """Note an endpoint that takes no new work, or takes it again."""
+    if endpoint.draining:
+        departure = Departure(endpoint, beliefs.clock.now_ms())
+        beliefs.departed.setdefault(endpoint.name, departure)
+    else:
+        beliefs.departed.pop(endpoint.name, None)
+
+
+def forget_endpoint(beliefs: Beliefs, endpoint: Endpoint) -> None:
+    """Drop an endpoint that is no longer listed."""
+    del beliefs.endpoints[endpoint.name]
+    beliefs.lapsed.pop(endpoint.name, None)
+    departure = Departure(endpoint, beliefs.clock.now_ms())
+    beliefs.departed.setdefault(endpoint.name, departure)
+
+
+def service_places(beliefs: Beliefs, service: str) -> list[Place]:
+    """Give a service's endpoints, and those that left lately, as places."""
+    present = usable_endpoints(beliefs, service)
+    departed = [one for one in recently_departed(beliefs) if one.service == service]
+    started = [one.started_ms for one in present + departed if one.started_ms]
+    since_ms = max(
+        min(started, default=0) + FOUNDING_MS, beliefs.wall.now_ms() - CHURN_MS
+    )
+    places = [Place(one.name, joined=one.started_ms > since_ms) for one in present]
+    places += [
+        Place(one.name, usable=False, joined=one.started_ms > since_ms)
+        for one in departed
+    ]
+    return places
+
+
+def recently_departed(beliefs: Beliefs) -> list[Endpoint]:
+    """Give the endpoints that left lately, and forget the others."""
+    oldest_ms = beliefs.clock.now_ms() - CHURN_MS
+    for name, departure in list(beliefs.departed.items()):
+        if departure.since_ms <= oldest_ms:
+            del beliefs.departed[name]
+    return [departure.endpoint for departure in beliefs.departed.values()]
+
+
 def remove_endpoint(beliefs: Beliefs, name: str) -> None:
     """Forget an endpoint, or give it time to be listed again after an outage."""
     endpoint = beliefs.endpoints.get(name)
@@ -144,8 +206,7 @@
     if until_ms is not None and not endpoint.draining:
         beliefs.lapsed[name] = until_ms
     else:
-        del beliefs.endpoints[name]
-        beliefs.lapsed.pop(name, None)
+        forget_endpoint(beliefs, endpoint)
     log_event(logger, "endpoint_removed", endpoint=name, kept_until_ms=until_ms)
 
 
@@ -174,6 +235,5 @@
     now_ms = beliefs.clock.now_ms()
     gone = [name for name, until_ms in beliefs.lapsed.items() if until_ms <= now_ms]
     for name in gone:
-        del beliefs.lapsed[name]
-        beliefs.endpoints.pop(name, None)
+        forget_endpoint(beliefs, beliefs.endpoints[name])
         log_event(logger, "endpoint_lapsed", endpoint=name)
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -1,12 +1,10 @@
 """Bringing one request to an answer: attempts, retries and refusals."""
 
 import logging
-from random import random
 
 from pulley_base import Outcome, Reason, log_event
 from pulley_http import RequestRefused, Response, end_to_end
 from pulley_policy.retries import RetryBudget
-from pulley_policy.spreads import Option, choose_idle, choose_warm
 
 from .attempts import (
     MISDIRECTED,
@@ -15,18 +13,15 @@
     read_whole_body,
     start_exchange,
 )
-from .beliefs import usable_endpoints
 from .jobs import AttemptFailed, Job
-from .loads import estimate_load, note_failure, note_success, state_of
-from .models import Endpoint, Kind
+from .loads import note_failure, note_success
+from .models import Kind
+from .placing import Target, choose_target
 from .routers import Router
 from .streams import open_stream
 
 logger = logging.getLogger(__name__)
 
-# Above this multiple of the mean a prompt goes to the next endpoint in rank; well
-# below the bound that must hold, as a router's estimates lag.
-WARM_FACTOR = 2.0
 # Each router takes this part of its share of the fleet's retry budget.
 BUDGET_MARGIN = 0.6
 FEWEST_ROUTERS = 4
@@ -41,11 +36,11 @@
     """
     earn_retry(router, job.service)
     while True:
-        endpoint = choose_endpoint(router, job)
-        if endpoint is None:
+        target = choose_target(router, job)
+        if target is None:
             return give_up(router, job, Reason.NO_ENDPOINT, "no endpoint is left")
         try:
-            response = await attempt(router, job, endpoint)
+            response = await attempt(router, job, target)
         except AttemptFailed as failure:
             note_attempt_failure(router, job, failure)
             reason = refuse_retry(router, job, failure)
@@ -56,9 +51,10 @@
             return response
 
 
-async def attempt(router: Router, job: Job, endpoint: Endpoint) -> Response:
+async def attempt(router: Router, job: Job, target: Target) -> Response:
     """Make one attempt; raises AttemptFailed where it brings no answer."""
-    exchange = await start_exchange(router, job, endpoint, None)
+    endpoint = target.endpoint
+    exchange = await start_exchange(router, job, target, None)
     try:
         if exchange.facts.not_run or exchange.status == MISDIRECTED:
             await read_rejection(exchange, job)
@@ -92,12 +88,12 @@
 ) -> Exchange | None:
     """Go on with a broken stream elsewhere; None where that is not possible."""
     while may_send(job) and spend_retry(router, job, Reason.CONNECTION_LOST):
-        endpoint = choose_endpoint(router, job)
-        if endpoint is None:
+        target = choose_target(router, job)
+        if target is None:
             return None
         exchange = None
         try:
-            exchange = await start_exchange(router, job, endpoint, last_event_id)
+            exchange = await start_exchange(router, job, target, last_event_id)
             if exchange.status < 300 and not exchange.facts.encoded:
                 return exchange
             await read_rejection(exchange, job)
@@ -108,43 +104,6 @@
     return None
 
 
-def choose_endpoint(router: Router, job: Job) -> Endpoint | None:
-    """Give the endpoint for a job's next attempt, None where there is none."""
-    endpoints = {
-        one.name: one
-        for one in usable_endpoints(router.beliefs, job.service)
-        if one.name not in job.excluded
-    }
-    now_ms = router.clock.now_ms()
-    ready = [
-        name
-        for name in endpoints
-        if state_of(router.loads, name).held_until_ms <= now_ms
-    ]
-    options = [make_option(router, endpoints[name]) for name in ready or endpoints]
-    key = warm_key(job)
-    if key is None:
-        chosen = choose_idle(options, random)
-    else:
-        chosen = choose_warm(key, options, WARM_FACTOR)
-    return None if chosen is None else endpoints[chosen.name]
-
-
-def make_option(router: Router, endpoint: Endpoint) -> Option:
-    """Describe an endpoint to the decision."""
-    load = estimate_load(router.loads, endpoint.name)
-    return Option(endpoint.name, load, share=max(1, endpoint.slots))
-
-
-def warm_key(job: Job) -> bytes | None:
-    """Give what a prompt shares with others: all parts but its own last one."""
-    parts = job.call.parts
-    if not parts:
-        return None
-    shared = parts[-2] if len(parts) > 1 else parts[-1]
-    return shared.digest.encode()[:64]
-
-
 def note_attempt_failure(router: Router, job: Job, failure: AttemptFailed) -> None:
     """Remember what a failed attempt says of its endpoint and of the job."""
     name = failure.endpoint.name
@@ -240,5 +199,3 @@
         status = 504 if late else 502
         raise RequestRefused(status, reason, detail, outcome=Outcome.UNKNOWN)
     raise RequestRefused(503, reason, detail, retry_after_ms=RETRY_AFTER_MS)
-
-
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -135,9 +135,7 @@
     )
 
 
-def note_answer(
-    router: Router, job: Job, response: Response, arrived_ms: int
-) -> None:
+def note_answer(router: Router, job: Job, response: Response, arrived_ms: int) -> None:
     """Count and log a request whose answer is passed on."""
     took_ms = router.clock.now_ms() - arrived_ms
     router.counters.answers[response.status] += 1
--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -152,13 +152,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptTerms:
-    """What an attempt tells its endpoint beside the caller's own headers."""
+    """What an attempt tells its endpoint beside the caller's own headers.
+
+    ``context_source`` is the address of another endpoint that may hold more of
+    the prompt's context, to copy it from.
+    """
 
     endpoint: str
     left_ms: int
     team: str | None
     priority: int | None
     last_event_id: int | None
+    context_source: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -0,0 +1,88 @@
+"""Choosing the endpoint of an attempt, and where it may copy context from."""
+
+from dataclasses import dataclass
+from random import random
+
+from pulley_policy.homes import order_places, order_sources
+from pulley_policy.spreads import Option, choose_idle, choose_warm
+
+from .beliefs import service_places, usable_endpoints
+from .jobs import Job
+from .loads import estimate_load, state_of
+from .models import Endpoint
+from .routers import Router
+
+# Above this multiple of the mean a prompt goes to the next endpoint in rank; the
+# bound that must hold lies a few requests higher, as a router's estimates lag.
+WARM_FACTOR = 2.0
+DIGEST_BYTES = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """The endpoint of an attempt, and the address that may hold its context."""
+
+    endpoint: Endpoint
+    context_source: str | None = None
+
+
+def choose_target(router: Router, job: Job) -> Target | None:
+    """Give the target of a job's next attempt, None where there is none."""
+    endpoints = {
+        one.name: one
+        for one in usable_endpoints(router.beliefs, job.service)
+        if one.name not in job.excluded
+    }
+    if not endpoints:
+        return None
+    now_ms = router.clock.now_ms()
+    ready = {
+        name
+        for name in endpoints
+        if state_of(router.loads, name).held_until_ms <= now_ms
+    }
+    candidates = ready or set(endpoints)
+    key = shared_key(job)
+    if key is not None:
+        return choose_prompt_target(router, job, key, candidates)
+    options = [make_option(router, endpoints[name]) for name in candidates]
+    return Target(endpoints[choose_idle(options, random).name])
+
+
+def choose_prompt_target(
+    router: Router, job: Job, key: bytes, candidates: set[str]
+) -> Target:
+    """Give the target of a prompt: its home, or the next within the bound."""
+    endpoints = router.beliefs.endpoints
+    places = service_places(router.beliefs, job.service)
+    ordered = [name for name in order_places(key, places) if name in candidates]
+    options = [make_option(router, endpoints[name]) for name in ordered]
+    chosen = choose_warm(options, WARM_FACTOR).name
+    sources = order_sources(key, places, chosen)
+    return Target(endpoints[chosen], first_alive(router, sources))
+
+
+def first_alive(router: Router, names: list[str]) -> str | None:
+    """Give the address of the first endpoint that is listed and answers."""
+    now_ms = router.clock.now_ms()
+    for name in names:
+        endpoint = router.beliefs.endpoints.get(name)
+        held_until_ms = state_of(router.loads, name).held_until_ms
+        if endpoint is not None and held_until_ms <= now_ms:
+            return endpoint.address
+    return None
+
+
+def make_option(router: Router, endpoint: Endpoint) -> Option:
+    """Describe an endpoint to the decision."""
+    load = estimate_load(router.loads, endpoint.name)
+    return Option(endpoint.name, load, share=max(1, endpoint.slots))
+
+
+def shared_key(job: Job) -> bytes | None:
+    """Give the last part that a prompt shares with others, None without parts."""
+    parts = job.call.parts
+    if not parts:
+        return None
+    shared = parts[-2] if len(parts) > 1 else parts[-1]
+    return shared.digest.encode()[:DIGEST_BYTES]
--- a/packages/policy/src/pulley_policy/spreads.py
+++ b/packages/policy/src/pulley_policy/spreads.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from .placement import score_endpoint
-
 
 @dataclass(frozen=True, slots=True)
 class Option:
@@ -19,28 +17,24 @@
     share: float = 1.0
 
 
-def choose_warm(key: bytes, options: Sequence[Option], factor: float) -> Option | None:
-    """Give the endpoint that most likely holds a prompt, within the load bound.
+def choose_warm(options: Sequence[Option], factor: float) -> Option | None:
+    """Give the first endpoint, in the order given, that is within the load bound.
 
-    The first by rendezvous rank whose load is under ``factor`` times its share
-    of the mean plus one; the least loaded where all are over it.
+    The bound is ``factor`` times an endpoint's share of the mean plus one; where
+    all are over it, the least loaded is chosen.
 
     >>> both = [Option("a", 9.0), Option("b", 0.0)]
-    >>> choose_warm(b"key", both, 1.5).name
+    >>> choose_warm(both, 1.5).name
     'b'
     """
-    if not options:
-        return None
     bounds = load_bounds(options, factor)
-    within = [one for one in options if one.load < bounds[one.name]]
-    if not within:
-        return min(options, key=relative_load)
-    return max(within, key=lambda one: (score_endpoint(key, one.name), one.name))
+    for option in options:
+        if option.load < bounds[option.name]:
+            return option
+    return min(options, key=relative_load, default=None)
 
 
-def choose_idle(
-    options: Sequence[Option], draw: Callable[[], float]
-) -> Option | None:
+def choose_idle(options: Sequence[Option], draw: Callable[[], float]) -> Option | None:
     """Give the endpoint with the least load, a random one among equals."""
     if not options:
         return None
