--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -80,7 +80,7 @@
     """Answer the balancer's question."""
     if request.path != READY_PATH:
         return Response(404)
-    ready = router.beliefs.configuration is not None and not router.draining
+    ready = router.beliefs.configuration is not None and router.stops_at_ms is None
     return Response(200 if ready else 503)
 
 
@@ -100,9 +100,8 @@
 async def drain(router: Router, front: Server) -> None:
     """Leave the rotation, finish what is in flight, and stop listening."""
     clock = router.clock
-    started_ms = clock.now_ms()
-    end_ms = started_ms + router.settings.bounds.grace_ms - GRACE_MARGIN_MS
-    router.draining = True
+    router.stops_at_ms = clock.deadline_ms(router.settings.bounds.grace_ms)
+    end_ms = router.stops_at_ms - GRACE_MARGIN_MS
     front.draining = True
     log_event(logger, "draining", n_in_flight=router.n_in_flight)
     await asyncio.sleep(to_seconds(LEAVE_ROTATION_MS))
--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -10,17 +10,21 @@
     ConnectionLost,
     PulleyError,
     Reason,
-    TimedOut,
     log_event,
     to_seconds,
 )
 from pulley_http import Headers
-from pulley_http.connections import next_event, parse_event, read_more
+from pulley_http.connections import (
+    ClientConnection,
+    next_event,
+    parse_event,
+    read_more,
+)
 
 from .channels import Channel, acquire_channel, close_channel, release_channel
 from .jobs import AttemptFailed, Job
-from .loads import note_report, state_of
-from .models import AnswerFacts, AttemptTerms, Endpoint
+from .loads import is_held_off, note_report, state_of
+from .models import AnswerFacts, AttemptTerms, Endpoint, Kind, Route
 from .placing import Target
 from .routers import Router
 
@@ -29,6 +33,23 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MISDIRECTED = 421
 
+# How often a silent endpoint is looked at again.
+LOOK_MS = 150
+# Silence that is enough where the endpoint has just failed another request.
+SUSPECT_WAIT_MS = 250
+# Callers of a stream leave after two seconds without an event at the earliest.
+STREAM_WAIT_MS = 1_300
+# A short answer that takes this many times its target is not coming.
+ANSWER_WAIT_TARGETS = 3
+
+
+class Unanswered(PulleyError):
+    """Nothing came from an endpoint; ``early`` means before the deadline."""
+
+    def __init__(self, message: str, *, step: str, early: bool):
+        super().__init__(message, step=step)
+        self.early = early
+
 
 @dataclass(slots=True)
 class Exchange:
@@ -105,10 +126,10 @@
     job.sent.append(endpoint.name)
     connection.transport.write(encode_request(connection.h11, request, job.body))
     try:
-        async with asyncio.timeout(to_seconds(left_ms)):
-            head, facts = await read_own_head(router, job, channel, request)
-    except TimeoutError as error:
-        raise AttemptFailed(Reason.DEADLINE, "no answer in time", endpoint) from error
+        head, facts = await read_own_head(router, job, channel, request, endpoint)
+    except Unanswered as error:
+        reason = Reason.STALLED if error.early else Reason.DEADLINE
+        raise AttemptFailed(reason, "no answer in time", endpoint) from error
     except PulleyError as error:
         raise AttemptFailed(Reason.CONNECTION_LOST, str(error), endpoint) from error
     note_report(router.loads, endpoint.name, facts.load)
@@ -149,7 +170,11 @@
 
 
 async def read_own_head(
-    router: Router, job: Job, channel: Channel, request: h11.Request
+    router: Router,
+    job: Job,
+    channel: Channel,
+    request: h11.Request,
+    endpoint: Endpoint,
 ) -> tuple[h11.Response, AnswerFacts]:
     """Read answers until one belongs to this request.
 
@@ -158,7 +183,10 @@
     """
     connection = channel.connection
     while True:
-        head = await next_event(connection, "head")
+        head = parse_event(connection, "head")
+        if head is h11.NEED_DATA:
+            await wait_for_bytes(router, job, endpoint, connection)
+            continue
         if isinstance(head, h11.InformationalResponse):
             continue
         if not isinstance(head, h11.Response):
@@ -204,10 +232,10 @@
         connection.h11.receive_data(b"")
 
 
-async def read_piece(exchange: Exchange, timeout_ms: int) -> bytes | None:
+async def read_piece(exchange: Exchange, job: Job) -> bytes | None:
     """Give the bytes of the body that are at hand, None at its end.
 
-    Raises ConnectionLost where the body is cut, TimedOut where nothing came.
+    Raises ConnectionLost where the body is cut, Unanswered where nothing came.
     """
     connection = exchange.channel.connection
     pieces = []
@@ -218,7 +246,7 @@
         elif pieces and event is h11.NEED_DATA:
             return b"".join(pieces)
         elif event is h11.NEED_DATA:
-            await read_in_time(connection, timeout_ms)
+            await wait_for_bytes(exchange.router, job, exchange.endpoint, connection)
         elif isinstance(event, h11.EndOfMessage):
             exchange.finished = True
             return b"".join(pieces) if pieces else None
@@ -227,23 +255,54 @@
             raise ConnectionLost("closed in mid-answer", step="body", peer=peer)
 
 
-async def read_in_time(connection, timeout_ms: int) -> None:
-    """Wait for more bytes; raises TimedOut where none come."""
+async def wait_for_bytes(
+    router: Router, job: Job, endpoint: Endpoint, connection: ClientConnection
+) -> None:
+    """Wait for more bytes up to the deadline.
+
+    A request that may be sent again is waited for only while its endpoint seems
+    well and for a bounded time. Raises Unanswered.
+    """
+    started_ms = router.clock.now_ms()
+    while True:
+        now_ms = router.clock.now_ms()
+        left_ms = job.deadline_ms - now_ms
+        if left_ms <= 0:
+            raise Unanswered("the deadline has passed", step="wait", early=False)
+        held_off = is_held_off(router.loads, endpoint.name)
+        silent_ms = now_ms - started_ms
+        if job.may_resend and may_abandon(job.route, silent_ms, held_off):
+            raise Unanswered("nothing came", step="wait", early=True)
+        if await read_within(connection, min(left_ms, LOOK_MS)):
+            return
+
+
+async def read_within(connection: ClientConnection, timeout_ms: int) -> bool:
+    """Wait for more bytes; False where none came in time."""
     try:
         async with asyncio.timeout(to_seconds(timeout_ms)):
-            await read_more(connection, "body")
-    except TimeoutError as error:
-        raise TimedOut("nothing came", step="body", peer=connection.peer) from error
+            await read_more(connection, "wait")
+    except TimeoutError:
+        return False
+    return True
+
+
+def may_abandon(route: Route, silent_ms: int, held_off: bool) -> bool:
+    """Tell whether an attempt that brings nothing is better made elsewhere."""
+    if held_off:
+        return silent_ms >= SUSPECT_WAIT_MS
+    if route.kind is Kind.STREAM:
+        return silent_ms >= STREAM_WAIT_MS
+    return silent_ms >= ANSWER_WAIT_TARGETS * route.target_ms
 
 
-async def read_whole_body(exchange: Exchange, deadline_ms: int) -> bytes:
+async def read_whole_body(exchange: Exchange, job: Job) -> bytes:
     """Read an answer's body to its end; raises AttemptFailed where it is cut."""
-    clock = exchange.router.clock
     pieces = []
     n_bytes = 0
     try:
         while not exchange.finished:
-            piece = await read_piece(exchange, max(1, deadline_ms - clock.now_ms()))
+            piece = await read_piece(exchange, job)
             if piece is not None:
                 pieces.append(piece)
                 n_bytes += len(piece)
--- a/packages/direct/src/pulley_direct/channels.py
+++ b/packages/direct/src/pulley_direct/channels.py
@@ -8,9 +8,9 @@
 from pulley_base import Clock
 from pulley_http.connections import ClientConnection, open_connection
 
-CONNECT_TIMEOUT_MS = 300
+CONNECT_TIMEOUT_MS = 200
 # An endpoint that acknowledges nothing for this long is gone.
-SILENCE_MS = 1_000
+SILENCE_MS = 700
 IDLE_LIMIT_MS = 4_000
 # A connection is not used again this shortly before its endpoint closes it.
 IDLE_MARGIN_MS = 500
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -27,6 +27,8 @@
 FEWEST_ROUTERS = 4
 RETRY_AFTER_MS = 200
 SERVER_ERROR = 500
+# An endpoint that is silent for this long is held off.
+TELLING_WAIT_MS = 800
 
 
 async def dispatch(router: Router, job: Job) -> Response:
@@ -62,7 +64,7 @@
             raise AttemptFailed(Reason.ENGINE_ERROR, "an encoded body", endpoint)
         if job.route.kind is Kind.STREAM and exchange.status < 300:
             return await open_stream(router, job, exchange, resume_stream)
-        body = await read_whole_body(exchange, job.deadline_ms)
+        body = await read_whole_body(exchange, job)
     except BaseException:
         end_exchange(exchange)
         raise
@@ -74,7 +76,7 @@
 
 async def read_rejection(exchange: Exchange, job: Job) -> None:
     """Read the answer of an endpoint that did not run the request, and raise."""
-    await read_whole_body(exchange, job.deadline_ms)
+    await read_whole_body(exchange, job)
     reason = Reason.ENDPOINT_BUSY
     if exchange.status == MISDIRECTED:
         reason = Reason.WRONG_ENDPOINT
@@ -111,7 +113,7 @@
     job.may_have_run = job.may_have_run or failure.may_have_run
     router.counters.failures[failure.reason] += 1
     held_until_ms = None
-    if failure.reason is not Reason.ENDPOINT_BUSY:
+    if speaks_against(router, job, failure):
         held_until_ms = note_failure(router.loads, name)
     log_event(
         logger,
@@ -127,6 +129,16 @@
     )
 
 
+def speaks_against(router: Router, job: Job, failure: AttemptFailed) -> bool:
+    """Tell whether a failure says that the endpoint itself is not well.
+
+    A full endpoint is well, and a short deadline says little.
+    """
+    if failure.reason is Reason.DEADLINE:
+        return router.clock.now_ms() - job.arrived_ms >= TELLING_WAIT_MS
+    return failure.reason not in (Reason.ENDPOINT_BUSY, Reason.WRONG_ENDPOINT)
+
+
 def refuse_retry(router: Router, job: Job, failure: AttemptFailed) -> Reason | None:
     """Say why a job is not sent again, None where it may be."""
     if job.may_have_run and not job.route.repeatable:
@@ -147,7 +159,7 @@
     job.may_have_run = True
     job.fallback = response
     job.excluded.update(job.sent)
-    if not job.route.repeatable or not may_send(job):
+    if not job.may_resend:
         return False
     return spend_retry(router, job, Reason.ENGINE_ERROR)
 
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -10,7 +10,7 @@
 from .counters import observe_ms
 from .dispatch import dispatch
 from .jobs import Job
-from .models import Call, Configuration
+from .models import Call, Configuration, Route
 from .routers import Router
 from .routes import draw_service, find_route, find_team, refresh_index
 from .signals import wait_until
@@ -26,6 +26,8 @@
 CONFIRM_WAIT_MS = 250
 WAIT_SHARE = 0.3
 RETRY_AFTER_MS = 300
+# The balancer takes an instance out after two misses, a second apart.
+ROTATION_MS = 2_700
 
 
 async def handle_request(router: Router, request: Request) -> Response:
@@ -58,7 +60,9 @@
     if not route.public and configuration.needs_token:
         configuration = await trusted_configuration(router, timeout_ms)
     team = find_team(configuration, route, call)
-    deadline_ms = arrived_ms + min(timeout_ms, route.timeout_ms)
+    timeout_ms = min(timeout_ms, route.timeout_ms)
+    if router.stops_at_ms is not None and not may_finish(router, route):
+        raise refuse_for_now(Reason.DRAINING, "the router is about to stop")
     return Job(
         call=call,
         route=route,
@@ -66,7 +70,7 @@
         team=team,
         body=body,
         arrived_ms=arrived_ms,
-        deadline_ms=deadline_ms,
+        deadline_ms=arrived_ms + timeout_ms,
         version=configuration.version,
     )
 
@@ -101,6 +105,17 @@
     return beliefs.configuration
 
 
+def may_finish(router: Router, route: Route) -> bool:
+    """Tell whether a request can be answered before the router stops.
+
+    Those that still arrive while the balancer learns of the stop are taken in
+    any case.
+    """
+    left_ms = router.stops_at_ms - router.clock.now_ms()
+    learning_ms = router.settings.bounds.grace_ms - left_ms
+    return learning_ms < ROTATION_MS or route.timeout_ms < left_ms
+
+
 def refuse_for_now(reason: Reason, detail: str) -> RequestRefused:
     """Refuse a request that was not run and may come again."""
     return RequestRefused(
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -30,6 +30,11 @@
     may_have_run: bool = False
     fallback: Response | None = None
 
+    @property
+    def may_resend(self) -> bool:
+        """Tell whether another endpoint may get the request after this one."""
+        return self.route.repeatable and len(self.sent) < self.route.max_attempts
+
     @property
     def priority(self) -> int:
         """The team's priority, or the route's where the team has none."""
--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -77,6 +77,12 @@
     return state.held_until_ms
 
 
+def is_held_off(table: LoadTable, name: str) -> bool:
+    """Tell whether an endpoint failed lately and has not answered since."""
+    state = table.states.get(name)
+    return state is not None and state.held_until_ms > table.clock.now_ms()
+
+
 def forget_missing(table: LoadTable, listed: set[str]) -> None:
     """Drop the states of endpoints that are no longer listed and hold nothing."""
     idle = (name for name, state in table.states.items() if not state.in_flight)
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -3,19 +3,21 @@
 from dataclasses import dataclass
 from random import random
 
-from pulley_policy.homes import order_places, order_sources
+from pulley_policy.homes import Place, order_places, order_sources
 from pulley_policy.spreads import Option, choose_idle, choose_warm
 
 from .beliefs import service_places, usable_endpoints
 from .jobs import Job
-from .loads import estimate_load, state_of
-from .models import Endpoint
+from .loads import estimate_load, is_held_off
+from .models import Endpoint, Part
 from .routers import Router
 
 # Above this multiple of the mean a prompt goes to the next endpoint in rank; the
 # bound that must hold lies a few requests higher, as a router's estimates lag.
 WARM_FACTOR = 2.0
 DIGEST_BYTES = 64
+# A prompt whose first part is not the one that its home is found by.
+FEWEST_PARTS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,12 +37,7 @@
     }
     if not endpoints:
         return None
-    now_ms = router.clock.now_ms()
-    ready = {
-        name
-        for name in endpoints
-        if state_of(router.loads, name).held_until_ms <= now_ms
-    }
+    ready = {name for name in endpoints if not is_held_off(router.loads, name)}
     candidates = ready or set(endpoints)
     key = shared_key(job)
     if key is not None:
@@ -59,16 +56,25 @@
     options = [make_option(router, endpoints[name]) for name in ordered]
     chosen = choose_warm(options, WARM_FACTOR).name
     sources = order_sources(key, places, chosen)
+    if not sources:
+        sources = holders_of_first_part(job, places, chosen)
     return Target(endpoints[chosen], first_alive(router, sources))
 
 
+def holders_of_first_part(job: Job, places: list[Place], chosen: str) -> list[str]:
+    """Order the endpoints that may hold the first part of a prompt of many."""
+    parts = job.call.parts
+    if len(parts) < FEWEST_PARTS:
+        return []
+    first = part_key(parts[0])
+    return [name for name in order_places(first, places) if name != chosen]
+
+
 def first_alive(router: Router, names: list[str]) -> str | None:
     """Give the address of the first endpoint that is listed and answers."""
-    now_ms = router.clock.now_ms()
     for name in names:
         endpoint = router.beliefs.endpoints.get(name)
-        held_until_ms = state_of(router.loads, name).held_until_ms
-        if endpoint is not None and held_until_ms <= now_ms:
+        if endpoint is not None and not is_held_off(router.loads, name):
             return endpoint.address
     return None
 
@@ -85,4 +91,9 @@
     if not parts:
         return None
     shared = parts[-2] if len(parts) > 1 else parts[-1]
-    return shared.digest.encode()[:DIGEST_BYTES]
+    return part_key(shared)
+
+
+def part_key(part: Part) -> bytes:
+    """Give the bytes by which a part is ranked."""
+    return part.digest.encode()[:DIGEST_BYTES]
--- a/packages/direct/src/pulley_direct/routers.py
+++ b/packages/direct/src/pulley_direct/routers.py
@@ -15,7 +15,11 @@
 
 @dataclass(slots=True)
 class Router:
-    """Everything that handling a request reads or changes."""
+    """Everything that handling a request reads or changes.
+
+    ``stops_at_ms`` is when the process is killed at the latest, None before it
+    is told to stop.
+    """
 
     settings: RouterSettings
     dialect: Dialect
@@ -27,4 +31,4 @@
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     routes: RouteIndex = field(default_factory=RouteIndex)
     n_in_flight: int = 0
-    draining: bool = False
+    stops_at_ms: int | None = None
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -47,9 +47,8 @@
         if self.exchange.finished:
             rest, self.buffer.pending = self.buffer.pending, b""
             return rest or None
-        left_ms = self.job.deadline_ms - self.router.clock.now_ms()
         try:
-            piece = await read_piece(self.exchange, max(1, left_ms))
+            piece = await read_piece(self.exchange, self.job)
         except PulleyError as error:
             await self.continue_elsewhere(error)
             return b""
@@ -100,9 +99,8 @@
     """
     stream = EventStream(router, job, exchange, resume)
     while not stream.first and not exchange.finished:
-        left_ms = job.deadline_ms - router.clock.now_ms()
         try:
-            piece = await read_piece(exchange, max(1, left_ms))
+            piece = await read_piece(exchange, job)
         except PulleyError as error:
             raise AttemptFailed(
                 Reason.CONNECTION_LOST, str(error), exchange.endpoint
--- a/packages/policy/src/pulley_policy/spreads.py
+++ b/packages/policy/src/pulley_policy/spreads.py
@@ -45,7 +45,7 @@
     """Give each endpoint's bound: its share of the mean, times ``factor``, plus 1."""
     total = sum(one.load for one in options)
     shares = sum(one.share for one in options)
-    return {one.name: factor * total * one.share / shares + 1.0 for one in options}
+    return {one.name: factor * total * one.share / shares + 2.0 for one in options}
 
 
 def relative_load(option: Option) -> float:
