Test the router on loopback: what callers and endpoints see of each failure

Stand-ins for the platform's store and endpoints speak its protocol, so that the scenarios need no bench.

--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -4,7 +4,7 @@
 import logging
 import signal
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from pulley_base import Clock, boot_time_ms, log_event, to_seconds
 from pulley_http import Request, Response, Server, start_server
@@ -31,6 +31,16 @@
 LOOK_MS = 50
 
 
+@dataclass(slots=True)
+class RunningRouter:
+    """A router that serves: its state, its listeners and its tasks."""
+
+    router: Router
+    front: Server
+    ready: Server
+    tasks: list[asyncio.Task]
+
+
 async def run_router(
     settings: RouterSettings,
     dialect: Dialect,
@@ -39,22 +49,39 @@
     reload: Callable[[], RouterSettings],
 ) -> int:
     """Serve until SIGTERM; gives the exit status."""
+    stopped = asyncio.Event()
+    running = await start_router(settings, dialect, store, format_retry_after)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, running.router, reload)
+    await stopped.wait()
+    await drain(running)
+    close_router(running)
+    log_event(logger, "stopped", n_in_flight=running.router.n_in_flight)
+    return 0
+
+
+async def start_router(
+    settings: RouterSettings,
+    dialect: Dialect,
+    store: StoreCalls,
+    format_retry_after: Callable[[int], bytes],
+) -> RunningRouter:
+    """Listen for callers, and learn of the fleet while they already connect."""
     clock = Clock(boot_time_ms)
     beliefs = Beliefs(clock)
     router = Router(
         settings, dialect, clock, beliefs, ChannelPool(clock), LoadTable(clock)
     )
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, router, reload)
     front = await listen(
         settings.callers_address,
         lambda request: handle_request(router, request),
         clock=clock,
         format_retry_after=format_retry_after,
     )
-    await listen(settings.ready_address, lambda request: answer_ready(router, request))
+    ready = await listen(
+        settings.ready_address, lambda request: answer_ready(router, request)
+    )
     log_event(logger, "started", instance=settings.instance, at_ms=clock.now_ms())
     wait_ms = int(settings.bounds.configuration_ms * WATCH_SHARE)
     tasks = [
@@ -62,12 +89,18 @@
         asyncio.create_task(announce(store, router)),
         asyncio.create_task(keep_house(router, front)),
     ]
-    await stopped.wait()
-    await drain(router, front)
-    for task in tasks:
+    return RunningRouter(router, front, ready, tasks)
+
+
+def close_router(running: RunningRouter) -> None:
+    """End the tasks and close every connection."""
+    for task in running.tasks:
         task.cancel()
-    log_event(logger, "stopped", n_in_flight=router.n_in_flight)
-    return 0
+    running.front.listener.close()
+    running.ready.listener.close()
+    for connection in [*running.front.connections, *running.ready.connections]:
+        connection.abort()
+    close_idle(running.router.pool, set())
 
 
 async def listen(address: str, handler, **options) -> Server:
@@ -97,8 +130,9 @@
         forget_missing(router.loads, listed)
 
 
-async def drain(router: Router, front: Server) -> None:
+async def drain(running: RunningRouter) -> None:
     """Leave the rotation, finish what is in flight, and stop listening."""
+    router, front = running.router, running.front
     clock = router.clock
     router.stops_at_ms = clock.deadline_ms(router.settings.bounds.grace_ms)
     end_ms = router.stops_at_ms - GRACE_MARGIN_MS
--- a/packages/direct/src/pulley_direct/followers.py
+++ b/packages/direct/src/pulley_direct/followers.py
@@ -34,6 +34,14 @@
         except PulleyError as error:
             note_failure(beliefs, started_ms, str(error))
             n_failures += 1
+        except Exception as error:
+            # A defect here must not leave the router with beliefs that only age.
+            warn_event(logger, "follower_failed", error=repr(error))
+            logger.debug("follower_failed", exc_info=error)
+            note_failure(beliefs, started_ms, repr(error))
+            revision = None
+            n_failures += 1
+        if n_failures:
             await asyncio.sleep(to_seconds(retry_delay_ms(n_failures, random)))
 
 
--- /dev/null
+++ b/tests/direct/steps/direct.py
@@ -0,0 +1,568 @@
+"""Steps that send requests through a router to endpoints on loopback."""
+
+import asyncio
+import json
+import socket
+import struct
+import time
+
+from behave import then, use_step_matcher, when
+from pulley_platform_standins.endpoints import Manner, list_endpoint, unlist_endpoint
+from pulley_platform_standins.stores import (
+    Mood,
+    forget_history,
+    put_document,
+    put_item,
+)
+from scenes import (
+    CHAT,
+    LOOKUP,
+    ONCE,
+    OPEN,
+    ORDER,
+    TOKEN,
+    add_endpoint,
+    call,
+    configuration,
+    open_scene,
+    publish,
+    settled,
+)
+
+from pulley_adapter.documents import decode_configuration
+from pulley_direct.beliefs import install_configuration, usable_endpoints
+from pulley_direct.loads import is_held_off, state_of
+
+use_step_matcher("parse")
+
+PATHS = {"an order": ORDER, "a lookup": LOOKUP, "a stream": CHAT}
+GONE_AFTER_S = 0.5
+RESERVED = {
+    "tenant": "another",
+    "hold": "h-1",
+    "pin-ms": "1000",
+    "kv-backup": "10.0.0.1:1",
+    "kv-from": "10.0.0.1:1/h",
+    "kv-fetch": "10.0.0.1:1",
+    "expect-instance": "another",
+    "request-priority": "0",
+}
+
+
+def endpoints_of(scene, service):
+    return [one for one in scene.endpoints if one.service == service]
+
+
+def total_runs(scene):
+    return sum(one.runs.total() for one in scene.endpoints)
+
+
+@when("a caller sends headers that only the fleet may set")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            pairs = [(name.encode(), value.encode()) for name, value in RESERVED.items()]
+            pairs.append((b"x-colour", b"green"))
+            await call(scene, ORDER, headers=pairs)
+            return endpoints_of(scene, "shop")[0].requests[-1]
+
+    context.request = asyncio.run(play())
+    context.got = {key.decode(): value.decode() for key, value in context.request.headers}
+
+
+@then("the endpoint gets its own name, the team and what is left of the time")
+def step(context):
+    assert context.got["expect-instance"] == "shop-0", context.got
+    assert context.got["tenant"] == "orto", context.got
+    assert 900 < int(context.got["deadline-ms"]) <= 1_000, context.got
+    assert context.got["attempt-id"] == "request-1", context.got
+    assert context.got["x-colour"] == "green", context.got
+
+
+@then("it gets neither the token nor the caller's reserved headers")
+def step(context):
+    assert "authorization" not in context.got, context.got
+    kept = {name for name, value in RESERVED.items() if context.got.get(name) == value}
+    assert not kept, kept
+
+
+@when("a caller sends a request to a sound endpoint")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            return await call(scene, ORDER)
+
+    context.answer = asyncio.run(play())
+
+
+@then("the caller gets the endpoint's status, body and stamp")
+def step(context):
+    answer = context.answer
+    assert (answer.status, answer.body) == (200, b"done\n"), answer
+    assert answer.header("server-stamp") == "stamp-of-shop-0", answer
+    assert answer.whole
+
+
+@when("a caller sends {kind} while all endpoints are {manner}")
+def step(context, kind, manner):
+    async def play():
+        async with open_scene(n_endpoints=2) as scene:
+            for endpoint in scene.endpoints:
+                endpoint.manner = Manner(manner)
+            answer = await call(scene, PATHS[kind], timeout_ms=600)
+            return answer, total_runs(scene)
+
+    context.answer, context.n_runs = asyncio.run(play())
+
+
+@when("a caller sends a lookup while the first endpoint is {manner}")
+def step(context, manner):
+    async def play():
+        async with open_scene(n_endpoints=1) as scene:
+            scene.endpoints[0].manner = Manner(manner)
+            await add_endpoint(scene, "shop-1", "shop")
+            await settled(scene)
+            # The other endpoint looks busy, so the first one is chosen.
+            state_of(scene.router.loads, "shop-1").in_flight = 3
+            answer = await call(scene, LOOKUP, timeout_ms=1_500)
+            assert scene.endpoints[0].runs.total() == 1, scene.endpoints[0]
+            return answer, total_runs(scene)
+
+    context.answer, context.n_runs = asyncio.run(play())
+
+
+@then('the answer has the status {status:d} and the outcome "{outcome}"')
+def step(context, status, outcome):
+    found = (context.answer.status, context.answer.header("pulley-outcome"))
+    assert found == (status, outcome), context.answer
+
+
+@then('the answer has the status {status:d} and the outcome ""')
+def step(context, status):
+    found = (context.answer.status, context.answer.header("pulley-outcome"))
+    assert found == (status, ""), context.answer
+
+
+@then("it ran {n_runs:d} times")
+def step(context, n_runs):
+    assert context.n_runs == n_runs, context.n_runs
+
+
+@then("the answer's Retry-After is a fraction of a second")
+def step(context):
+    assert 0 < float(context.answer.header("retry-after")) < 1, context.answer
+
+
+@then("it came before half of the time had passed")
+def step(context):
+    assert context.answer.took_ms < 750, context.answer
+
+
+@when("a caller reads a resumable stream from an endpoint that breaks off")
+def step(context):
+    async def play():
+        async with open_scene(n_endpoints=2) as scene:
+            for endpoint in endpoints_of(scene, "model"):
+                endpoint.n_events = 6
+                endpoint.break_after = 2
+                endpoint.manner = Manner.BREAKING
+            task = asyncio.create_task(call(scene, CHAT, timeout_ms=3_000))
+            while not total_runs(scene):
+                await asyncio.sleep(0)
+            for endpoint in endpoints_of(scene, "model"):
+                if not endpoint.runs:
+                    endpoint.manner = Manner.SOUND
+            return await task, scene.endpoints
+
+    context.answer, context.endpoints = asyncio.run(play())
+
+
+@then("it gets every event once and in order, and the stream ends whole")
+def step(context):
+    lines = [b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 7)]
+    assert context.answer.body == b"".join(lines), context.answer
+    assert context.answer.whole
+
+
+@then("the second endpoint was asked to go on after the last whole event")
+def step(context):
+    second = [one for one in context.endpoints if one.manner is Manner.SOUND]
+    (request,) = [r for one in second for r in one.requests if one.service == "model"]
+    assert dict(request.headers)[b"last-event-id"] == b"2", request
+
+
+@when("a caller reads another stream from an endpoint that breaks off")
+def step(context):
+    async def play():
+        async with open_scene(n_endpoints=2) as scene:
+            for endpoint in endpoints_of(scene, "model"):
+                endpoint.manner = Manner.BREAKING
+            return await call(scene, ONCE, timeout_ms=3_000), total_runs(scene)
+
+    context.answer, context.n_runs = asyncio.run(play())
+
+
+@then("the stream ends without looking whole")
+def step(context):
+    assert context.answer.status == 200 and not context.answer.whole, context.answer
+
+
+@then("only one endpoint ran it")
+def step(context):
+    assert context.n_runs == 1, context.n_runs
+
+
+async def serve_raw(answers):
+    """Serve raw answers, one for each request that arrives on a connection."""
+
+    async def serve(reader, writer):
+        try:
+            for data, end in answers:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = [
+                    int(line.split(b":")[1])
+                    for line in head.lower().split(b"\r\n")
+                    if line.startswith(b"content-length")
+                ]
+                await reader.readexactly(length[0] if length else 0)
+                writer.write(data)
+                await writer.drain()
+                if end == "reset":
+                    linger = struct.pack("ii", 1, 0)
+                    sock = writer.get_extra_info("socket")
+                    await asyncio.sleep(0.05)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.transport.abort()
+                    return
+                if end == "close":
+                    writer.close()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+
+def list_raw(scene, server, name="raw"):
+    """List a raw server as the only endpoint of the shop."""
+    for endpoint in endpoints_of(scene, "shop"):
+        unlist_endpoint(scene.store, endpoint)
+    port = server.sockets[0].getsockname()[1]
+    row = {"service": "shop", "address": f"127.0.0.1:{port}", "zone": "here"}
+    put_document(
+        scene.store, f"servers/{name}", row | {"slots": 4, "state": "ready", "seq": 1}
+    )
+
+
+def raw_answer(request_id, body, framing="content-length: %d\r\n"):
+    framed = framing % len(body) if "%" in framing else framing
+    head = f"HTTP/1.1 200 OK\r\nattempt-id: {request_id}\r\n{framed}\r\n"
+    return head.encode() + body
+
+
+@when("an endpoint answers an earlier request once more before the awaited one")
+def step(context):
+    async def play():
+        first = raw_answer("request-1", b"first")
+        second = raw_answer("request-1", b"first") + raw_answer("request-2", b"second")
+        server = await serve_raw([(first, ""), (second, "")])
+        async with open_scene() as scene:
+            list_raw(scene, server)
+            await settled(scene)
+            await call(scene, ORDER, request_id="request-1")
+            answer = await call(scene, ORDER, request_id="request-2")
+        server.close()
+        return answer
+
+    context.answer = asyncio.run(play())
+
+
+@then("the caller gets the answer to its own request")
+def step(context):
+    assert (context.answer.status, context.answer.body) == (200, b"second"), (
+        context.answer
+    )
+
+
+@when("an endpoint without a length ends its answer with a {end}")
+def step(context, end):
+    async def play():
+        server = await serve_raw([(raw_answer("request-1", b"all", ""), end)])
+        async with open_scene() as scene:
+            list_raw(scene, server)
+            await settled(scene)
+            answer = await call(scene, ORDER)
+        server.close()
+        return answer
+
+    context.answer = asyncio.run(play())
+
+
+@when("a caller hangs up on a stream")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            endpoint = endpoints_of(scene, "model")[0]
+            endpoint.n_events, endpoint.event_ms = 1_000, 20
+            task = asyncio.create_task(call(scene, CHAT, timeout_ms=30_000))
+            while not endpoint.n_running:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            task.cancel()
+            await asyncio.sleep(GONE_AFTER_S)
+            return endpoint.n_running
+
+    context.n_running = asyncio.run(play())
+
+
+@then("the endpoint's work ends within half a second")
+def step(context):
+    assert context.n_running == 0, context.n_running
+
+
+@when("the store falls silent for longer than tokens are trusted")
+def step(context):
+    async def play():
+        async with open_scene(revoke_ms=1_000) as scene:
+            scene.store.mood = Mood.SILENT
+            await asyncio.sleep(1.2)
+            keyed = await call(scene, ORDER)
+            public = await call(scene, OPEN, token=None)
+            return keyed, public
+
+    context.answer, context.public = asyncio.run(play())
+
+
+@then('a request with a token is refused as not run for "{reason}"')
+@then('a stream is refused as not run for "{reason}"')
+def step(context, reason):
+    answer = context.answer
+    assert answer.status == 503, answer
+    assert answer.header("pulley-reason") == reason, answer
+    assert answer.header("pulley-outcome") == "not-run", answer
+
+
+@then("a request on a public route is answered")
+def step(context):
+    assert context.public.status == 200, context.public
+
+
+@when("a token is removed while its caller keeps its connection")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            before = await call(scene, ORDER)
+            assert before.status == 200, before
+            publish(scene, 2, tokens=["another-token"])
+            await settled(scene)
+            return await call(scene, ORDER, request_id="request-2")
+
+    context.answer = asyncio.run(play())
+
+
+@then('the next request on that connection is refused for "{reason}"')
+def step(context, reason):
+    answer = context.answer
+    assert (answer.status, answer.header("pulley-reason")) == (401, reason), answer
+
+
+@when("an older configuration is read after a newer one")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            beliefs = scene.router.beliefs
+            for version in (9, 4):
+                found = decode_configuration(configuration(version, [TOKEN]))
+                install_configuration(beliefs, found)
+            return beliefs.configuration.version
+
+    context.version = asyncio.run(play())
+
+
+@then("the newer one stays in force")
+def step(context):
+    assert context.version == 9, context.version
+
+
+@when("an endpoint begins to drain")
+def step(context):
+    async def play():
+        async with open_scene(n_endpoints=2) as scene:
+            leaving = endpoints_of(scene, "shop")[0]
+            list_endpoint(scene.store, leaving, "draining")
+            await asyncio.sleep(0.2)
+            leaving.requests.clear()
+            for number in range(10):
+                await call(scene, LOOKUP, request_id=f"request-{number}")
+            return leaving.requests
+
+    context.late = asyncio.run(play())
+
+
+@then("no request reaches it")
+def step(context):
+    assert not context.late, context.late
+
+
+@when("the store comes back without an endpoint's entry")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            scene.store.mood = Mood.REFUSING
+            await asyncio.sleep(1.3)
+            unlist_endpoint(scene.store, endpoints_of(scene, "shop")[0])
+            scene.store.mood = Mood.WELL
+            await asyncio.sleep(0.8)
+            beliefs = scene.router.beliefs
+            during = len(usable_endpoints(beliefs, "shop"))
+            await asyncio.sleep(2.4)
+            return during, len(usable_endpoints(beliefs, "shop"))
+
+    context.counts = asyncio.run(play())
+
+
+@then("the endpoint is used until the grace time is over")
+def step(context):
+    assert context.counts == (1, 0), context.counts
+
+
+@when("entries are written that can't be read")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            store = scene.store
+            sound = {"service": "shop", "address": "127.0.0.1:9", "zone": "here"}
+            sound |= {"slots": 4, "state": "ready"}
+            wrong = [
+                sound | {"state": "resting"},
+                sound | {"slots": "four"},
+                sound | {"address": "nowhere"},
+                sound | {"service": 5},
+                {key: sound[key] for key in ("service", "address")},
+            ]
+            for number, document in enumerate(wrong):
+                put_document(store, f"servers/wrong-{number}", document)
+            put_item(store, "servers/bytes", b"\xff\xfe\x00")
+            put_item(store, "servers/list", json.dumps([1]).encode())
+            await asyncio.sleep(0.3)
+            await add_endpoint(scene, "shop-1", "shop")
+            await asyncio.sleep(0.3)
+            answers = [
+                await call(scene, LOOKUP, request_id=f"request-{number}")
+                for number in range(5)
+            ]
+            return answers, usable_endpoints(scene.router.beliefs, "shop")
+
+    context.answers, context.usable = asyncio.run(play())
+
+
+@then("requests still reach the sound endpoints, also one listed later")
+def step(context):
+    assert [one.status for one in context.answers] == [200] * 5, context.answers
+    names = {one.name for one in context.usable}
+    assert names == {"shop-0", "shop-1"}, context.usable
+
+
+@when("the store forgets its history and an endpoint joins")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            put_item(scene.store, "op/other", b"{}")
+            forget_history(scene.store)
+            joined = await add_endpoint(scene, "shop-9", "shop")
+            unlist_endpoint(scene.store, endpoints_of(scene, "shop")[0])
+            forget_history(scene.store)
+            await asyncio.sleep(0.8)
+            return await call(scene, ORDER), joined
+
+    context.answer, context.joined = asyncio.run(play())
+
+
+@then("requests reach the endpoint that joined")
+def step(context):
+    assert context.answer.status == 200, context.answer
+    assert context.joined.runs.total() == 1, context.joined
+
+
+@when("a router is told to stop and the balancer has learned of it")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            clock = scene.router.clock
+            scene.router.stops_at_ms = clock.now_ms() + 1_000
+            long_route = configuration(2, [TOKEN])
+            for row in long_route["routes"]:
+                row["timeoutMs"] = 12_000 if row["type"] == "stream" else 400
+            put_document(scene.store, "op/config", long_route)
+            scene.version = 2
+            await settled(scene)
+            stream = await call(scene, CHAT, timeout_ms=12_000)
+            lookup = await call(scene, LOOKUP, timeout_ms=12_000)
+            return stream, lookup
+
+    context.answer, context.lookup = asyncio.run(play())
+
+
+@then("a lookup is answered")
+def step(context):
+    assert context.lookup.status == 200, context.lookup
+
+
+@when("a request arrives before the store has answered")
+def step(context):
+    async def play():
+        async with open_scene(known=False) as scene:
+            task = asyncio.create_task(call(scene, ORDER, timeout_ms=5_000))
+            await asyncio.sleep(0.2)
+            publish(scene, 1)
+            return await task
+
+    context.answer = asyncio.run(play())
+
+
+@then("it is answered once the configuration is known")
+def step(context):
+    assert context.answer.status == 200, context.answer
+
+
+@when("a request with a short deadline gets no answer")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            endpoint = endpoints_of(scene, "shop")[0]
+            endpoint.manner = Manner.MUTE
+            answer = await call(scene, ORDER, timeout_ms=200)
+            return answer, is_held_off(scene.router.loads, endpoint.name)
+
+    context.answer, context.held_off = asyncio.run(play())
+
+
+@then("its endpoint is not held off")
+def step(context):
+    assert context.answer.status == 504, context.answer
+    assert not context.held_off
+
+
+@when("an endpoint's address is taken over by another service's endpoint")
+def step(context):
+    async def play():
+        async with open_scene() as scene:
+            model = endpoints_of(scene, "model")[0]
+            row = {"service": "shop", "address": model.address, "zone": "here"}
+            row |= {"slots": 99, "state": "ready", "born": int(time.time() * 1_000)}
+            put_document(scene.store, "servers/shop-old", row)
+            await asyncio.sleep(0.3)
+            answers = [
+                await call(scene, LOOKUP, request_id=f"request-{number}")
+                for number in range(4)
+            ]
+            return answers, model
+
+    context.answers, context.model = asyncio.run(play())
+
+
+@then("the request is answered by an endpoint of its own service")
+def step(context):
+    stamps = {one.header("server-stamp") for one in context.answers}
+    assert stamps == {"stamp-of-shop-0"}, context.answers
+    assert context.model.requests and not context.model.runs, context.model
--- /dev/null
+++ b/tests/direct/steps/scenes.py
@@ -0,0 +1,196 @@
+"""A store, endpoints and a router on loopback, and what callers see of them."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+from pulley_platform_standins.endpoints import (
+    StandInEndpoint,
+    list_endpoint,
+    start_endpoint,
+)
+from pulley_platform_standins.stores import StandInStore, put_document, start_store
+
+from pulley_adapter.headers import DIALECT, fractional_seconds
+from pulley_adapter.stores import connect_store
+from pulley_base import PulleyError
+from pulley_direct.app import RunningRouter, close_router, start_router
+from pulley_direct.models import Bounds, RouterSettings
+from pulley_direct.signals import wait_until
+from pulley_http import Client, close_client, find_header, send_request
+
+PATIENCE_MS = 5_000
+TOKEN = "token-of-orto"
+HOST = "pulley.example"
+LOOKUP = "/lookup/"
+ORDER = "/order/"
+CHAT = "/chat/"
+ONCE = "/once/"
+OPEN = "/open/"
+
+ROUTE = {"host": HOST, "service": "shop", "timeoutMs": 2_000, "goalMs": 100}
+MODEL = ROUTE | {"service": "model", "type": "stream", "gapGoalMs": 400}
+ROUTES = [
+    ROUTE | {"name": "lookup", "pathPrefix": LOOKUP, "type": "idempotent"},
+    ROUTE | {"name": "order", "pathPrefix": ORDER, "type": "unsafe"},
+    ROUTE | {"name": "open", "pathPrefix": OPEN, "type": "unsafe", "public": True},
+    MODEL | {"name": "chat", "pathPrefix": CHAT, "resumable": True},
+    MODEL | {"name": "once", "pathPrefix": ONCE, "resumable": False},
+]
+MAX_ATTEMPTS = {"lookup": 2, "order": 2, "open": 1, "chat": 2, "once": 1}
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a caller got: ``whole`` is False where the body was cut."""
+
+    status: int = 0
+    headers: list = field(default_factory=list)
+    body: bytes = b""
+    whole: bool = False
+    took_ms: float = 0.0
+
+    def header(self, name: str) -> str:
+        """Give a header as text, empty where it is absent."""
+        return (find_header(self.headers, name.encode()) or b"").decode()
+
+
+@dataclass(slots=True)
+class Scene:
+    """All processes of one scenario, and the client that sends to the router."""
+
+    store: StandInStore
+    running: RunningRouter
+    client: Client
+    endpoints: list[StandInEndpoint] = field(default_factory=list)
+    version: int = 1
+
+    @property
+    def router(self):
+        """The router's state."""
+        return self.running.router
+
+
+def configuration(version: int, tokens: list[str]) -> dict:
+    """Give a configuration as the platform spells it."""
+    routes = [row | {"maxAttempts": MAX_ATTEMPTS[row["name"]]} for row in ROUTES]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "shop", "healthPath": "/healthz", "maxConns": 50},
+            {"name": "model", "healthPath": "/healthz", "maxConns": 50},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "idleTimeoutMs": 15_000},
+        "tenants": [{"name": "orto", "apiKeys": tokens, "priority": 1}],
+    }
+
+
+def publish(scene: Scene, version: int, tokens: list[str] | None = None) -> None:
+    """Write a configuration to the store."""
+    tokens = [TOKEN] if tokens is None else tokens
+    put_document(scene.store, "op/config", configuration(version, tokens))
+    scene.version = version
+
+
+@asynccontextmanager
+async def open_scene(
+    n_endpoints: int = 1, known: bool = True, **bounds
+) -> AsyncIterator[Scene]:
+    """Start a store, a router and endpoints of both services."""
+    store = await start_store()
+    settings = RouterSettings(
+        instance="router-1",
+        ip="127.0.0.1",
+        data_centre="here",
+        callers_address="127.0.0.1:0",
+        ready_address="127.0.0.1:0",
+        peer_ports=(0, 0),
+        store_address=store.address,
+        bounds=replace(Bounds(configuration_ms=400), **bounds),
+    )
+    store_client = Client()
+    calls = connect_store(store.address, store_client)
+    running = await start_router(settings, DIALECT, calls, fractional_seconds)
+    scene = Scene(store, running, Client())
+    try:
+        for service in ("shop", "model"):
+            for number in range(n_endpoints):
+                await add_endpoint(scene, f"{service}-{number}", service)
+        if known:
+            publish(scene, 1)
+            await settled(scene)
+        yield scene
+    finally:
+        close_router(running)
+        close_client(scene.client)
+        close_client(store_client)
+        for server in [store.server, *(one.server for one in scene.endpoints)]:
+            server.listener.close()
+            for connection in list(server.connections):
+                connection.abort()
+
+
+async def add_endpoint(scene: Scene, name: str, service: str, **options):
+    """Start an endpoint and list it."""
+    endpoint = await start_endpoint(name, service, **options)
+    scene.endpoints.append(endpoint)
+    list_endpoint(scene.store, endpoint)
+    return endpoint
+
+
+async def settled(scene: Scene) -> None:
+    """Wait until the router knows all that the store holds."""
+    names = {key.rpartition("/")[2] for key in scene.store.items if "servers/" in key}
+    beliefs = scene.router.beliefs
+
+    def knows_all() -> bool:
+        found = beliefs.configuration
+        if found is None or found.version < scene.version:
+            return False
+        return names <= beliefs.endpoints.keys()
+
+    assert await wait_until(beliefs.changed, knows_all, PATIENCE_MS)
+
+
+async def call(
+    scene: Scene,
+    path: str,
+    *,
+    request_id: str = "request-1",
+    timeout_ms: int = 1_000,
+    token: str | None = TOKEN,
+    parts: str = "",
+    headers: list | None = None,
+    body: bytes = b"{}",
+) -> Answer:
+    """Send one request to the router and read its answer to the end."""
+    sent = [(b"host", HOST.encode()), (b"attempt-id", request_id.encode())]
+    sent.append((b"deadline-ms", b"%d" % timeout_ms))
+    if token is not None:
+        sent.append((b"authorization", b"Bearer " + token.encode()))
+    if path.startswith((CHAT, ONCE)):
+        sent.append((b"prompt-prefix", (parts or "aa:100,bb:50").encode()))
+    sent += headers or []
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    answer = Answer()
+    try:
+        response = await send_request(
+            scene.client,
+            scene.running.front.address,
+            "POST",
+            path + "x",
+            headers=sent,
+            body=body,
+            timeout_ms=PATIENCE_MS,
+        )
+        answer.status, answer.headers = response.status, response.headers
+        async for piece in response.body:
+            answer.body += piece
+        answer.whole = True
+    except PulleyError:
+        pass
+    answer.took_ms = (loop.time() - started) * 1_000
+    return answer
