--- /dev/null
+++ b/tests/adapter/steps/adapter.py
@@ -0,0 +1,404 @@
+"""Steps that decode the platform's messages and run the built program."""
+
+import asyncio
+import copy
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import then, when
+from pulley_platform_standins.endpoints import list_endpoint, start_endpoint
+from pulley_platform_standins.stores import (
+    Mood,
+    end_leases,
+    put_document,
+    put_item,
+    start_store,
+)
+
+from pulley_adapter.documents import decode_fact
+from pulley_adapter.headers import read_call
+from pulley_adapter.stores import connect_store
+from pulley_base import ProtocolError, PulleyError
+from pulley_direct.models import Endpoint, Kind, Team
+from pulley_direct.store_calls import StoreRefused
+from pulley_http import Client, Request, close_client, fetch
+
+ROOT = Path(__file__).resolve().parents[3]
+START_LOOKS = 200
+LOOK_S = 0.05
+EXIT_S = 15
+N_ITEMS = 1_203
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "chat",
+            "host": "One.example",
+            "pathPrefix": "/chat/",
+            "type": "stream",
+            "timeoutMs": 15_000,
+            "goalMs": 800,
+            "priority": 1,
+            "split": [
+                {"service": "model", "weight": 90},
+                {"service": "other", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gapGoalMs": 400,
+        },
+        {
+            "name": "order",
+            "host": "one.example",
+            "pathPrefix": "/order/",
+            "type": "unsafe",
+            "timeoutMs": 1_000,
+            "goalMs": 150,
+            "service": "shop",
+            "maxAttempts": 1,
+            "public": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "model",
+            "healthPath": "/healthz",
+            "maxConns": 720,
+            "engine": {"slots": 64, "kvCapacity": 600_000},
+        },
+        {"name": "shop", "healthPath": "/healthz", "maxConns": 192},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16_384,
+        "maxBodyBytes": 4_194_304,
+        "headerTimeoutMs": 3_000,
+        "idleTimeoutMs": 15_000,
+    },
+    "tenants": [{"name": "orto", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+ENTRY = {
+    "service": "model",
+    "address": "10.0.0.9:8080",
+    "zone": "here",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def drop(name):
+    return lambda row: row.pop(name)
+
+
+def put(name, value):
+    return lambda row: row.update({name: value})
+
+
+def in_route(change):
+    return lambda row: change(row["routes"][0])
+
+
+CONFIGURATION_FAULTS = {
+    "no version": drop("version"),
+    "a version that is text": put("version", "7"),
+    "routes that are no list": put("routes", {"a": 1}),
+    "a route without a host": in_route(drop("host")),
+    "a route of another type": in_route(put("type", "keyed")),
+    "a weight that is text": in_route(
+        put("split", [{"service": "model", "weight": "all"}])
+    ),
+    "a timeout that is a list": in_route(put("timeoutMs", [1])),
+}
+ENTRY_FAULTS = {
+    "no service": drop("service"),
+    "no slots": drop("slots"),
+    "slots that are true": put("slots", True),
+    "another state": put("state", "resting"),
+    "an address without port": put("address", "10.0.0.9"),
+    "a start that is text": put("born", "yesterday"),
+}
+SETTINGS = """
+node = "router-1"
+zone = "here"
+ip = "127.0.0.1"
+portRange = [{low}, {high}]
+[listen]
+front = "127.0.0.1:{front}"
+readyAddr = "127.0.0.1:{ready}"
+[platform]
+address = "{store}"
+[bounds]
+graceS = 8
+revokeMs = 5000
+"""
+
+
+@when("a configuration as the platform writes it is decoded")
+def step(context):
+    context.found = decode_fact("op/config", json.dumps(CONFIGURATION).encode())
+
+
+@then("its routes, shares, services, limits and teams are as written")
+def step(context):
+    found = context.found
+    chat, order = found.routes
+    assert (chat.host, chat.prefix, chat.kind) == ("one.example", "/chat/", Kind.STREAM)
+    assert [(one.service, one.weight) for one in chat.shares] == [
+        ("model", 90),
+        ("other", 10),
+    ]
+    assert chat.repeatable and not order.repeatable
+    assert order.public and order.kind is Kind.NON_IDEMPOTENT
+    assert found.services["model"].slots == 64
+    assert found.limits.body_bytes == 4_194_304
+    assert found.teams_by_token == {"k1": Team("orto", 1), "k2": Team("orto", 1)}
+
+
+def decode_changed(key, document, change):
+    document = copy.deepcopy(document)
+    change(document)
+    try:
+        return decode_fact(key, json.dumps(document).encode())
+    except ProtocolError as error:
+        return error
+
+
+@when("a configuration with {fault} is decoded")
+def step(context, fault):
+    context.found = decode_changed(
+        "op/config", CONFIGURATION, CONFIGURATION_FAULTS[fault]
+    )
+
+
+@when("an endpoint's entry with {fault} is decoded")
+def step(context, fault):
+    sound = decode_changed("servers/e-1", ENTRY, lambda row: None)
+    assert isinstance(sound, Endpoint), sound
+    if fault == "bytes that are no JSON":
+        try:
+            context.found = decode_fact("servers/e-1", b"\xff\x00")
+        except ProtocolError as error:
+            context.found = error
+        return
+    context.found = decode_changed("servers/e-1", ENTRY, ENTRY_FAULTS[fault])
+
+
+@then('it is refused with the step "{name}"')
+def step(context, name):
+    assert isinstance(context.found, ProtocolError), context.found
+    assert context.found.step == name, context.found
+
+
+@when("a request with the header {header} of {value} is read")
+def step(context, header, value):
+    request = Request("POST", "/a", [(header.encode(), value.encode())], b"")
+    call = read_call(request)
+    meanings = {
+        "deadline-ms": str(call.timeout_ms),
+        "last-event-id": str(call.last_event_id),
+        "prompt-prefix": f"{len(call.parts)} parts",
+        "authorization": str(call.token),
+        "token-usage": f"{call.output_tokens} tokens",
+    }
+    context.meaning = meanings[header]
+
+
+@then("it means {meaning}")
+def step(context, meaning):
+    assert context.meaning == meaning, context.meaning
+
+
+def run_program(path, *, python=sys.executable):
+    environment = os.environ | {"PLANTAINPULLEY_BOOT": str(path)}
+    return subprocess.Popen(
+        [python, "-m", "pulley_adapter"],
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+@when("settings with {fault} are checked")
+def step(context, fault):
+    text = SETTINGS.format(
+        low=7_000, high=7_015, front=8_000, ready=8_001, store="127.0.0.1:9"
+    )
+    changes = {
+        "no store": ("[platform]", "[elsewhere]"),
+        "an address without port": ("127.0.0.1:8000", "127.0.0.1"),
+        "ports the wrong way round": ("[7000, 7015]", "[7015, 7000]"),
+        "a bound that is text": ("revokeMs = 5000", 'revokeMs = "5000"'),
+        "no file at all": ("", ""),
+    }
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "local.toml"
+        if fault != "no file at all":
+            path.write_text(text.replace(*changes[fault]))
+        process = run_program(path)
+        _out, context.message = process.communicate(timeout=EXIT_S)
+        context.status = process.returncode
+
+
+@then("the program exits with 2 and its message names {field}")
+def step(context, field):
+    assert context.status == 2, context.message
+    assert field in context.message, context.message
+
+
+async def with_store(play):
+    store = await start_store()
+    client = Client()
+    try:
+        return await play(store, connect_store(store.address, client))
+    finally:
+        close_client(client)
+        store.server.listener.close()
+        for connection in list(store.server.connections):
+            connection.abort()
+
+
+@when("a store holds more items than a page")
+def step(context):
+    async def play(store, calls):
+        for number in range(N_ITEMS):
+            entry = ENTRY | {"slots": number}
+            put_document(store, f"servers/e-{number:05d}", entry)
+        return await calls.read_all()
+
+    context.changes = asyncio.run(with_store(play))
+
+
+@then("all of them are read")
+def step(context):
+    assert [one.slots for one in context.changes.facts] == list(range(N_ITEMS))
+
+
+@when("the store refuses one call and does not answer another")
+def step(context):
+    async def play(store, calls):
+        errors = []
+        for mood in (Mood.REFUSING, Mood.LOSING):
+            store.mood = mood
+            try:
+                await calls.grant_lease(5_000)
+            except PulleyError as error:
+                errors.append(error)
+        return errors, len(store.leases)
+
+    context.errors, context.n_leases = asyncio.run(with_store(play))
+
+
+@then("the first is known to have done nothing and the second is not")
+def step(context):
+    refused, lost = context.errors
+    assert isinstance(refused, StoreRefused) and refused.status == 503, refused
+    assert not isinstance(lost, StoreRefused), lost
+    assert context.n_leases == 1
+
+
+@when("a router is announced under a lease that ends")
+def step(context):
+    async def play(store, calls):
+        granted = await calls.grant_lease(100)
+        await calls.announce("router-1", "127.0.0.1:7000", granted.lease)
+        before = list(store.items)
+        await asyncio.sleep(0.15)
+        end_leases(store)
+        return before, list(store.items), await calls.renew_lease(granted.lease)
+
+    context.entries = asyncio.run(with_store(play))
+
+
+@then("its entry is gone")
+def step(context):
+    before, after, renewed = context.entries
+    assert len(before) == 1 and not after and not renewed, context.entries
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@when("the program is built and started with a settings file and told to stop")
+def step(context):
+    subprocess.run(["sh", "deploy/build"], cwd=ROOT, check=True, capture_output=True)
+    with tempfile.TemporaryDirectory() as folder:
+        context.result = asyncio.run(play_program(Path(folder) / "local.toml"))
+
+
+async def play_program(path):
+    store = await start_store()
+    shop = await start_endpoint("shop-0", "shop")
+    list_endpoint(store, shop)
+    put_item(store, "op/config", json.dumps(CONFIGURATION).encode())
+    front, ready = free_port(), free_port()
+    path.write_text(
+        SETTINGS.format(
+            low=7_000, high=7_015, front=front, ready=ready, store=store.address
+        )
+    )
+    environment = {"PATH": os.environ["PATH"], "PLANTAINPULLEY_BOOT": str(path)}
+    environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
+    process = await asyncio.create_subprocess_exec(
+        "python3",
+        "-S",
+        "-m",
+        "pulley_adapter",
+        env=environment,
+        cwd=path.parent,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    client = Client()
+    was_ready = await wait_ready(client, f"127.0.0.1:{ready}")
+    headers = [(b"host", b"one.example"), (b"attempt-id", b"request-9")]
+    answer = await fetch(
+        client, f"127.0.0.1:{front}", "POST", "/order/x", headers=headers, body=b"{}"
+    )
+    process.send_signal(signal.SIGTERM)
+    out, err = await asyncio.wait_for(process.communicate(), EXIT_S)
+    close_client(client)
+    return was_ready, answer, process.returncode, out.decode(), err.decode()
+
+
+async def wait_ready(client, address):
+    for _ in range(START_LOOKS):
+        try:
+            answer = await fetch(client, address, "GET", "/readyz")
+            if answer.status == 200:
+                return True
+        except PulleyError:
+            pass
+        await asyncio.sleep(LOOK_S)
+    return False
+
+
+@then("it was ready, answered a request and exited with 0")
+def step(context):
+    was_ready, answer, status, _out, err = context.result
+    assert was_ready, err
+    assert (answer.status, answer.body) == (200, b"done\n"), answer
+    assert status == 0 and not err, (status, err)
+
+
+@then("its log names the request and how it was decided")
+def step(context):
+    lines = context.result[3].splitlines()
+    (line,) = [line for line in lines if "request=request-9" in line]
+    for part in ("event=request_answered", "sent=shop-0", "version=7", "route=order"):
+        assert part in line, line
