--- a/tests/adapter/steps/adapter.py
+++ b/tests/adapter/steps/adapter.py
@@ -146,12 +146,12 @@
 
 
 @when("a configuration as the platform writes it is decoded")
-def step(context):
+def play_configuration_platform_writes_decoded(context):
     context.found = decode_fact("op/config", json.dumps(CONFIGURATION).encode())
 
 
 @then("its routes, shares, services, limits and teams are as written")
-def step(context):
+def check_routes_shares_services_limits_teams(context):
     found = context.found
     chat, order = found.routes
     assert (chat.host, chat.prefix, chat.kind) == ("one.example", "/chat/", Kind.STREAM)
@@ -176,14 +176,14 @@
 
 
 @when("a configuration with {fault} is decoded")
-def step(context, fault):
+def play_configuration_with_decoded(context, fault):
     context.found = decode_changed(
         "op/config", CONFIGURATION, CONFIGURATION_FAULTS[fault]
     )
 
 
 @when("an endpoint's entry with {fault} is decoded")
-def step(context, fault):
+def play_endpoint_s_entry_with_decoded(context, fault):
     sound = decode_changed("servers/e-1", ENTRY, lambda row: None)
     assert isinstance(sound, Endpoint), sound
     if fault == "bytes that are no JSON":
@@ -196,13 +196,13 @@
 
 
 @then('it is refused with the step "{name}"')
-def step(context, name):
+def check_refused_with_step(context, name):
     assert isinstance(context.found, ProtocolError), context.found
     assert context.found.step == name, context.found
 
 
 @when("a request with the header {header} of {value} is read")
-def step(context, header, value):
+def play_request_with_header_read(context, header, value):
     request = Request("POST", "/a", [(header.encode(), value.encode())], b"")
     call = read_call(request)
     meanings = {
@@ -216,7 +216,7 @@
 
 
 @then("it means {meaning}")
-def step(context, meaning):
+def check_means(context, meaning):
     assert context.meaning == meaning, context.meaning
 
 
@@ -232,7 +232,7 @@
 
 
 @when("settings with {fault} are checked")
-def step(context, fault):
+def play_settings_with_are_checked(context, fault):
     text = SETTINGS.format(
         low=7_000, high=7_015, front=8_000, ready=8_001, store="127.0.0.1:9"
     )
@@ -253,7 +253,7 @@
 
 
 @then("the program exits with 2 and its message names {field}")
-def step(context, field):
+def check_program_exits_with_message_names(context, field):
     assert context.status == 2, context.message
     assert field in context.message, context.message
 
@@ -271,7 +271,7 @@
 
 
 @when("a store holds more items than a page")
-def step(context):
+def play_store_holds_more_items_than(context):
     async def play(store, calls):
         for number in range(N_ITEMS):
             entry = ENTRY | {"slots": number}
@@ -282,12 +282,12 @@
 
 
 @then("all of them are read")
-def step(context):
+def check_all_them_are_read(context):
     assert [one.slots for one in context.changes.facts] == list(range(N_ITEMS))
 
 
 @when("the store refuses one call and does not answer another")
-def step(context):
+def play_store_refuses_one_call_does(context):
     async def play(store, calls):
         errors = []
         for mood in (Mood.REFUSING, Mood.LOSING):
@@ -302,7 +302,7 @@
 
 
 @then("the first is known to have done nothing and the second is not")
-def step(context):
+def check_first_known_have_done_nothing(context):
     refused, lost = context.errors
     assert isinstance(refused, StoreRefused) and refused.status == 503, refused
     assert not isinstance(lost, StoreRefused), lost
@@ -310,7 +310,7 @@
 
 
 @when("a router is announced under a lease that ends")
-def step(context):
+def play_router_announced_under_lease_ends(context):
     async def play(store, calls):
         granted = await calls.grant_lease(100)
         await calls.announce("router-1", "127.0.0.1:7000", granted.lease)
@@ -323,7 +323,7 @@
 
 
 @then("its entry is gone")
-def step(context):
+def check_entry_gone(context):
     before, after, renewed = context.entries
     assert len(before) == 1 and not after and not renewed, context.entries
 
@@ -335,7 +335,7 @@
 
 
 @when("the program is built and started with a settings file and told to stop")
-def step(context):
+def play_program_built_started_with_settings(context):
     subprocess.run(["sh", "deploy/build"], cwd=ROOT, check=True, capture_output=True)
     with tempfile.TemporaryDirectory() as folder:
         context.result = asyncio.run(play_program(Path(folder) / "local.toml"))
@@ -389,7 +389,7 @@
 
 
 @then("it was ready, answered a request and exited with 0")
-def step(context):
+def check_was_ready_answered_request_exited(context):
     was_ready, answer, status, _out, err = context.result
     assert was_ready, err
     assert (answer.status, answer.body) == (200, b"done\n"), answer
@@ -397,7 +397,7 @@
 
 
 @then("its log names the request and how it was decided")
-def step(context):
+def check_log_names_request_how_was(context):
     lines = context.result[3].splitlines()
     (line,) = [line for line in lines if "request=request-9" in line]
     for part in ("event=request_answered", "sent=shop-0", "version=7", "route=order"):
--- a/tests/direct/steps/direct.py
+++ b/tests/direct/steps/direct.py
@@ -58,20 +58,24 @@
 
 
 @when("a caller sends headers that only the fleet may set")
-def step(context):
+def play_caller_sends_headers_only_fleet(context):
     async def play():
         async with open_scene() as scene:
-            pairs = [(name.encode(), value.encode()) for name, value in RESERVED.items()]
+            pairs = [
+                (name.encode(), value.encode()) for name, value in RESERVED.items()
+            ]
             pairs.append((b"x-colour", b"green"))
             await call(scene, ORDER, headers=pairs)
             return endpoints_of(scene, "shop")[0].requests[-1]
 
     context.request = asyncio.run(play())
-    context.got = {key.decode(): value.decode() for key, value in context.request.headers}
+    context.got = {
+        key.decode(): value.decode() for key, value in context.request.headers
+    }
 
 
 @then("the endpoint gets its own name, the team and what is left of the time")
-def step(context):
+def check_endpoint_gets_own_name_team(context):
     assert context.got["expect-instance"] == "shop-0", context.got
     assert context.got["tenant"] == "orto", context.got
     assert 900 < int(context.got["deadline-ms"]) <= 1_000, context.got
@@ -80,14 +84,14 @@
 
 
 @then("it gets neither the token nor the caller's reserved headers")
-def step(context):
+def check_gets_neither_token_nor_caller(context):
     assert "authorization" not in context.got, context.got
     kept = {name for name, value in RESERVED.items() if context.got.get(name) == value}
     assert not kept, kept
 
 
 @when("a caller sends a request to a sound endpoint")
-def step(context):
+def play_caller_sends_request_sound_endpoint(context):
     async def play():
         async with open_scene() as scene:
             return await call(scene, ORDER)
@@ -96,7 +100,7 @@
 
 
 @then("the caller gets the endpoint's status, body and stamp")
-def step(context):
+def check_caller_gets_endpoint_s_status(context):
     answer = context.answer
     assert (answer.status, answer.body) == (200, b"done\n"), answer
     assert answer.header("server-stamp") == "stamp-of-shop-0", answer
@@ -104,7 +108,7 @@
 
 
 @when("a caller sends {kind} while all endpoints are {manner}")
-def step(context, kind, manner):
+def play_caller_sends_while_all_endpoints(context, kind, manner):
     async def play():
         async with open_scene(n_endpoints=2) as scene:
             for endpoint in scene.endpoints:
@@ -116,7 +120,7 @@
 
 
 @when("a caller sends a lookup while the first endpoint is {manner}")
-def step(context, manner):
+def play_caller_sends_lookup_while_first(context, manner):
     async def play():
         async with open_scene(n_endpoints=1) as scene:
             scene.endpoints[0].manner = Manner(manner)
@@ -132,34 +136,34 @@
 
 
 @then('the answer has the status {status:d} and the outcome "{outcome}"')
-def step(context, status, outcome):
+def check_answer_has_status_outcome(context, status, outcome):
     found = (context.answer.status, context.answer.header("pulley-outcome"))
     assert found == (status, outcome), context.answer
 
 
 @then('the answer has the status {status:d} and the outcome ""')
-def step(context, status):
+def check_answer_has_status_outcome_2(context, status):
     found = (context.answer.status, context.answer.header("pulley-outcome"))
     assert found == (status, ""), context.answer
 
 
 @then("it ran {n_runs:d} times")
-def step(context, n_runs):
+def check_ran_times(context, n_runs):
     assert context.n_runs == n_runs, context.n_runs
 
 
 @then("the answer's Retry-After is a fraction of a second")
-def step(context):
+def check_answer_s_retry_after_fraction(context):
     assert 0 < float(context.answer.header("retry-after")) < 1, context.answer
 
 
 @then("it came before half of the time had passed")
-def step(context):
+def check_came_before_half_time_had(context):
     assert context.answer.took_ms < 750, context.answer
 
 
 @when("a caller reads a resumable stream from an endpoint that breaks off")
-def step(context):
+def play_caller_reads_resumable_stream_from(context):
     async def play():
         async with open_scene(n_endpoints=2) as scene:
             for endpoint in endpoints_of(scene, "model"):
@@ -178,21 +182,21 @@
 
 
 @then("it gets every event once and in order, and the stream ends whole")
-def step(context):
+def check_gets_every_event_once_order(context):
     lines = [b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 7)]
     assert context.answer.body == b"".join(lines), context.answer
     assert context.answer.whole
 
 
 @then("the second endpoint was asked to go on after the last whole event")
-def step(context):
+def check_second_endpoint_was_asked_go(context):
     second = [one for one in context.endpoints if one.manner is Manner.SOUND]
     (request,) = [r for one in second for r in one.requests if one.service == "model"]
     assert dict(request.headers)[b"last-event-id"] == b"2", request
 
 
 @when("a caller reads another stream from an endpoint that breaks off")
-def step(context):
+def play_caller_reads_another_stream_from(context):
     async def play():
         async with open_scene(n_endpoints=2) as scene:
             for endpoint in endpoints_of(scene, "model"):
@@ -203,12 +207,12 @@
 
 
 @then("the stream ends without looking whole")
-def step(context):
+def check_stream_ends_without_looking_whole(context):
     assert context.answer.status == 200 and not context.answer.whole, context.answer
 
 
 @then("only one endpoint ran it")
-def step(context):
+def check_only_one_endpoint_ran(context):
     assert context.n_runs == 1, context.n_runs
 
 
@@ -261,7 +265,7 @@
 
 
 @when("an endpoint answers an earlier request once more before the awaited one")
-def step(context):
+def play_endpoint_answers_earlier_request_once(context):
     async def play():
         first = raw_answer("request-1", b"first")
         second = raw_answer("request-1", b"first") + raw_answer("request-2", b"second")
@@ -278,14 +282,14 @@
 
 
 @then("the caller gets the answer to its own request")
-def step(context):
+def check_caller_gets_answer_own_request(context):
     assert (context.answer.status, context.answer.body) == (200, b"second"), (
         context.answer
     )
 
 
 @when("an endpoint without a length ends its answer with a {end}")
-def step(context, end):
+def play_endpoint_without_length_ends_answer(context, end):
     async def play():
         server = await serve_raw([(raw_answer("request-1", b"all", ""), end)])
         async with open_scene() as scene:
@@ -299,7 +303,7 @@
 
 
 @when("a caller hangs up on a stream")
-def step(context):
+def play_caller_hangs_up_stream(context):
     async def play():
         async with open_scene() as scene:
             endpoint = endpoints_of(scene, "model")[0]
@@ -316,12 +320,12 @@
 
 
 @then("the endpoint's work ends within half a second")
-def step(context):
+def check_endpoint_s_work_ends_within(context):
     assert context.n_running == 0, context.n_running
 
 
 @when("the store falls silent for longer than tokens are trusted")
-def step(context):
+def play_store_falls_silent_longer_than(context):
     async def play():
         async with open_scene(revoke_ms=1_000) as scene:
             scene.store.mood = Mood.SILENT
@@ -335,7 +339,7 @@
 
 @then('a request with a token is refused as not run for "{reason}"')
 @then('a stream is refused as not run for "{reason}"')
-def step(context, reason):
+def check_stream_refused_not_run(context, reason):
     answer = context.answer
     assert answer.status == 503, answer
     assert answer.header("pulley-reason") == reason, answer
@@ -343,12 +347,12 @@
 
 
 @then("a request on a public route is answered")
-def step(context):
+def check_request_public_route_answered(context):
     assert context.public.status == 200, context.public
 
 
 @when("a token is removed while its caller keeps its connection")
-def step(context):
+def play_token_removed_while_caller_keeps(context):
     async def play():
         async with open_scene() as scene:
             before = await call(scene, ORDER)
@@ -361,13 +365,13 @@
 
 
 @then('the next request on that connection is refused for "{reason}"')
-def step(context, reason):
+def check_next_request_connection_refused(context, reason):
     answer = context.answer
     assert (answer.status, answer.header("pulley-reason")) == (401, reason), answer
 
 
 @when("an older configuration is read after a newer one")
-def step(context):
+def play_older_configuration_read_after_newer(context):
     async def play():
         async with open_scene() as scene:
             beliefs = scene.router.beliefs
@@ -380,12 +384,12 @@
 
 
 @then("the newer one stays in force")
-def step(context):
+def check_newer_one_stays_force(context):
     assert context.version == 9, context.version
 
 
 @when("an endpoint begins to drain")
-def step(context):
+def play_endpoint_begins_drain(context):
     async def play():
         async with open_scene(n_endpoints=2) as scene:
             leaving = endpoints_of(scene, "shop")[0]
@@ -400,12 +404,12 @@
 
 
 @then("no request reaches it")
-def step(context):
+def check_no_request_reaches(context):
     assert not context.late, context.late
 
 
 @when("the store comes back without an endpoint's entry")
-def step(context):
+def play_store_comes_back_without_endpoint(context):
     async def play():
         async with open_scene() as scene:
             scene.store.mood = Mood.REFUSING
@@ -422,12 +426,12 @@
 
 
 @then("the endpoint is used until the grace time is over")
-def step(context):
+def check_endpoint_used_until_grace_time(context):
     assert context.counts == (1, 0), context.counts
 
 
 @when("entries are written that can't be read")
-def step(context):
+def play_entries_are_written_can_t(context):
     async def play():
         async with open_scene() as scene:
             store = scene.store
@@ -457,14 +461,14 @@
 
 
 @then("requests still reach the sound endpoints, also one listed later")
-def step(context):
+def check_requests_still_reach_sound_endpoints(context):
     assert [one.status for one in context.answers] == [200] * 5, context.answers
     names = {one.name for one in context.usable}
     assert names == {"shop-0", "shop-1"}, context.usable
 
 
 @when("the store forgets its history and an endpoint joins")
-def step(context):
+def play_store_forgets_history_endpoint_joins(context):
     async def play():
         async with open_scene() as scene:
             put_item(scene.store, "op/other", b"{}")
@@ -479,13 +483,13 @@
 
 
 @then("requests reach the endpoint that joined")
-def step(context):
+def check_requests_reach_endpoint_joined(context):
     assert context.answer.status == 200, context.answer
     assert context.joined.runs.total() == 1, context.joined
 
 
 @when("a router is told to stop and the balancer has learned of it")
-def step(context):
+def play_router_told_stop_balancer_has(context):
     async def play():
         async with open_scene() as scene:
             clock = scene.router.clock
@@ -504,12 +508,12 @@
 
 
 @then("a lookup is answered")
-def step(context):
+def check_lookup_answered(context):
     assert context.lookup.status == 200, context.lookup
 
 
 @when("a request arrives before the store has answered")
-def step(context):
+def play_request_arrives_before_store_has(context):
     async def play():
         async with open_scene(known=False) as scene:
             task = asyncio.create_task(call(scene, ORDER, timeout_ms=5_000))
@@ -521,12 +525,12 @@
 
 
 @then("it is answered once the configuration is known")
-def step(context):
+def check_answered_once_configuration_known(context):
     assert context.answer.status == 200, context.answer
 
 
 @when("a request with a short deadline gets no answer")
-def step(context):
+def play_request_with_short_deadline_gets(context):
     async def play():
         async with open_scene() as scene:
             endpoint = endpoints_of(scene, "shop")[0]
@@ -538,13 +542,13 @@
 
 
 @then("its endpoint is not held off")
-def step(context):
+def check_endpoint_not_held_off(context):
     assert context.answer.status == 504, context.answer
     assert not context.held_off
 
 
 @when("an endpoint's address is taken over by another service's endpoint")
-def step(context):
+def play_endpoint_s_address_taken_over(context):
     async def play():
         async with open_scene() as scene:
             model = endpoints_of(scene, "model")[0]
@@ -562,7 +566,7 @@
 
 
 @then("the request is answered by an endpoint of its own service")
-def step(context):
+def check_request_answered_by_endpoint_own(context):
     stamps = {one.header("server-stamp") for one in context.answers}
     assert stamps == {"stamp-of-shop-0"}, context.answers
     assert context.model.requests and not context.model.runs, context.model
