--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -12,12 +12,13 @@
 from .announcements import announce
 from .beliefs import Beliefs
 from .channels import ChannelPool, close_idle
-from .followers import WATCH_SHARE, follow_store
+from .followers import follow_store
 from .front import handle_request
 from .loads import LoadTable, forget_missing
 from .models import Dialect, RouterSettings
 from .routers import Router
 from .store_calls import StoreCalls
+from .trust import is_ready
 
 logger = logging.getLogger(__name__)
 
@@ -83,9 +84,9 @@
         settings.ready_address, lambda request: answer_ready(router, request)
     )
     log_event(logger, "started", instance=settings.instance, at_ms=clock.now_ms())
-    wait_ms = int(settings.bounds.configuration_ms * WATCH_SHARE)
+    within_ms = settings.bounds.configuration_ms
     tasks = [
-        asyncio.create_task(follow_store(store, beliefs, clock, wait_ms)),
+        asyncio.create_task(follow_store(store, beliefs, clock, within_ms)),
         asyncio.create_task(announce(store, router)),
         asyncio.create_task(keep_house(router, front)),
     ]
@@ -113,8 +114,7 @@
     """Answer the balancer's question."""
     if request.path != READY_PATH:
         return Response(404)
-    ready = router.beliefs.configuration is not None and router.stops_at_ms is None
-    return Response(200 if ready else 503)
+    return Response(200 if is_ready(router) else 503)
 
 
 async def keep_house(router: Router, front: Server) -> None:
--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -21,6 +21,8 @@
     read_more,
 )
 
+from .beliefs import usable_endpoints
+from .budgets import reserve_retry
 from .channels import Channel, acquire_channel, close_channel, release_channel
 from .jobs import AttemptFailed, Job
 from .loads import is_held_off, note_report, state_of
@@ -272,11 +274,19 @@
         held_off = is_held_off(router.loads, endpoint.name)
         silent_ms = now_ms - started_ms
         if job.may_resend and may_abandon(job.route, silent_ms, held_off):
-            raise Unanswered("nothing came", step="wait", early=True)
+            if has_other_endpoint(router, job) and reserve_retry(router, job):
+                raise Unanswered("nothing came", step="wait", early=True)
         if await read_within(connection, min(left_ms, LOOK_MS)):
             return
 
 
+def has_other_endpoint(router: Router, job: Job) -> bool:
+    """Tell whether a job could go to an endpoint that it was not sent to."""
+    used = {*job.sent, *job.excluded}
+    found = usable_endpoints(router.beliefs, job.service)
+    return any(one.name not in used for one in found)
+
+
 async def read_within(connection: ClientConnection, timeout_ms: int) -> bool:
     """Wait for more bytes; False where none came in time."""
     try:
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -4,7 +4,6 @@
 
 from pulley_base import Outcome, Reason, log_event
 from pulley_http import RequestRefused, Response, end_to_end
-from pulley_policy.retries import RetryBudget
 
 from .attempts import (
     MISDIRECTED,
@@ -13,6 +12,7 @@
     read_whole_body,
     start_exchange,
 )
+from .budgets import earn_retry, spend_retry
 from .jobs import AttemptFailed, Job
 from .loads import note_failure, note_success
 from .models import Kind
@@ -22,9 +22,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Each router takes this part of its share of the fleet's retry budget.
-BUDGET_MARGIN = 0.6
-FEWEST_ROUTERS = 4
 RETRY_AFTER_MS = 200
 SERVER_ERROR = 500
 # An endpoint that is silent for this long is held off.
@@ -169,39 +166,6 @@
     return len(job.sent) < job.route.max_attempts
 
 
-def earn_retry(router: Router, service: str) -> None:
-    """Note a first attempt in the service's budget."""
-    budget = budget_of(router, service)
-    budget.maximum = budget_maximum(router)
-    budget.earn()
-
-
-def spend_retry(router: Router, job: Job, reason: Reason) -> bool:
-    """Take one retry from the service's budget; False where none is left."""
-    if not budget_of(router, job.service).spend():
-        return False
-    router.counters.retries[reason] += 1
-    return True
-
-
-def budget_of(router: Router, service: str) -> RetryBudget:
-    """Give this router's part of a service's retry budget."""
-    budget = router.budgets.get(service)
-    if budget is None:
-        maximum = budget_maximum(router)
-        ratio = router.settings.bounds.retry_ratio * BUDGET_MARGIN
-        budget = RetryBudget(ratio=ratio, maximum=maximum, left=maximum)
-        router.budgets[service] = budget
-    return budget
-
-
-def budget_maximum(router: Router) -> float:
-    """Give the retries that this router may have in hand at a time."""
-    n_routers = max(FEWEST_ROUTERS, len(router.beliefs.routers))
-    slack = router.settings.bounds.retry_slack * BUDGET_MARGIN
-    return max(1.0, slack / n_routers)
-
-
 def give_up(router: Router, job: Job, reason: Reason, detail: str) -> Response:
     """Pass on an endpoint's own error, or raise the refusal that is true."""
     if job.fallback is not None:
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -14,18 +14,19 @@
 from .routers import Router
 from .routes import draw_service, find_route, find_team, refresh_index
 from .signals import wait_until
+from .trust import is_trusted
 
 logger = logging.getLogger(__name__)
 
 DEFAULT_TIMEOUT_MS = 60_000
 # A request that arrives before the router knows anything waits for this long.
 LEARN_WAIT_MS = 2_000
-# Tokens are taken on trust for this part of the time in which a removed one has
-# to stop working; the rest covers a watch that hears nothing for a second.
-TRUST_SHARE = 0.7
+# A request that arrives just as the router has woken from a pause waits this long
+# for the store's answer.
 CONFIRM_WAIT_MS = 250
 WAIT_SHARE = 0.3
-RETRY_AFTER_MS = 300
+# Another router can take the request at once.
+RETRY_ELSEWHERE_MS = 10
 # The balancer takes an instance out after two misses, a second apart.
 ROTATION_MS = 2_700
 
@@ -91,17 +92,12 @@
 async def trusted_configuration(router: Router, timeout_ms: int) -> Configuration:
     """Give a configuration whose tokens are known to be valid still."""
     beliefs = router.beliefs
-    most_ms = int(router.settings.bounds.revoke_ms * TRUST_SHARE)
-
-    def is_trusted() -> bool:
-        age = age_ms(beliefs)
-        return age is not None and age <= most_ms
-
-    if not is_trusted():
+    if not is_trusted(router) and beliefs.failing_since_ms is None:
         wait_ms = min(CONFIRM_WAIT_MS, int(timeout_ms * WAIT_SHARE))
-        if not await wait_until(beliefs.confirmed, is_trusted, wait_ms):
-            detail = f"tokens were last confirmed {age_ms(beliefs)} ms ago"
-            raise refuse_for_now(Reason.CONFIGURATION_STALE, detail)
+        await wait_until(beliefs.confirmed, lambda: is_trusted(router), wait_ms)
+    if not is_trusted(router):
+        detail = f"tokens were last confirmed {age_ms(beliefs)} ms ago"
+        raise refuse_for_now(Reason.CONFIGURATION_STALE, detail)
     return beliefs.configuration
 
 
@@ -119,7 +115,7 @@
 def refuse_for_now(reason: Reason, detail: str) -> RequestRefused:
     """Refuse a request that was not run and may come again."""
     return RequestRefused(
-        503, reason, detail, retry_after_ms=RETRY_AFTER_MS, step="admit"
+        503, reason, detail, retry_after_ms=RETRY_ELSEWHERE_MS, step="admit"
     )
 
 
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -14,7 +14,8 @@
 
     ``deadline_ms`` is a reading of the router's clock. ``sent`` lists the
     endpoints that it was sent to in order; ``may_have_run`` says whether one of
-    them may have begun to work on it.
+    them may have begun to work on it, ``retry_reserved`` that its next retry has
+    been taken out of the budget already.
     """
 
     call: Call
@@ -28,6 +29,7 @@
     sent: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
     may_have_run: bool = False
+    retry_reserved: bool = False
     fallback: Response | None = None
 
     @property
