--- a/tests/direct/direct.feature
+++ b/tests/direct/direct.feature
@@ -110,3 +110,16 @@
   Scenario: An address that passed to another endpoint runs nothing
     When an endpoint's address is taken over by another service's endpoint
     Then the request is answered by an endpoint of its own service
+
+  Scenario: A router that can't be sure of tokens refuses at once and is not ready
+    When the store falls silent for longer than tokens are trusted
+    Then the refusal came within 100 ms and says to come back at once
+    And the router is not ready
+
+  Scenario: A watch that hangs is followed by a read
+    When watches hang while the configuration changes
+    Then the change is in force within the time that it may take
+
+  Scenario: A stream is not given up for a retry that can't be made
+    When an endpoint falls silent for a while and no retry is left
+    Then the stream is whole, and one endpoint ran it
--- a/tests/direct/steps/direct.py
+++ b/tests/direct/steps/direct.py
@@ -31,7 +31,10 @@
 
 from pulley_adapter.documents import decode_configuration
 from pulley_direct.beliefs import install_configuration, usable_endpoints
+from pulley_direct.budgets import budget_of
 from pulley_direct.loads import is_held_off, state_of
+from pulley_direct.signals import wait_until
+from pulley_direct.trust import is_ready
 
 use_step_matcher("parse")
 
@@ -332,9 +335,9 @@
             await asyncio.sleep(1.2)
             keyed = await call(scene, ORDER)
             public = await call(scene, OPEN, token=None)
-            return keyed, public
+            return keyed, public, is_ready(scene.router)
 
-    context.answer, context.public = asyncio.run(play())
+    context.answer, context.public, context.ready = asyncio.run(play())
 
 
 @then('a request with a token is refused as not run for "{reason}"')
@@ -570,3 +573,60 @@
     stamps = {one.header("server-stamp") for one in context.answers}
     assert stamps == {"stamp-of-shop-0"}, context.answers
     assert context.model.requests and not context.model.runs, context.model
+
+
+@then("the refusal came within {most_ms:d} ms and says to come back at once")
+def check_refusal_time(context, most_ms):
+    assert context.answer.status == 503, context.answer
+    assert context.answer.took_ms < most_ms, context.answer
+    assert float(context.answer.header("retry-after")) < 0.1, context.answer
+
+
+@then("the router is not ready")
+def check_not_ready(context):
+    assert not context.ready
+
+
+@when("watches hang while the configuration changes")
+def play_deaf_watches(context):
+    async def play():
+        async with open_scene(configuration_ms=2_000) as scene:
+            scene.store.mood = Mood.DEAF
+            await asyncio.sleep(1.2)
+            publish(scene, 2)
+            started_ms = scene.router.clock.now_ms()
+            beliefs = scene.router.beliefs
+            await wait_until(
+                beliefs.changed, lambda: beliefs.configuration.version == 2, 5_000
+            )
+            return scene.router.clock.now_ms() - started_ms
+
+    context.took_ms = asyncio.run(play())
+
+
+@then("the change is in force within the time that it may take")
+def check_in_force(context):
+    assert context.took_ms < 2_000, context.took_ms
+
+
+@when("an endpoint falls silent for a while and no retry is left")
+def play_silence(context):
+    async def play():
+        async with open_scene(n_endpoints=2, retry_slack=0, retry_ratio=0) as scene:
+            for endpoint in endpoints_of(scene, "model"):
+                endpoint.pause_ms = 1_700
+            await call(scene, ORDER)
+            budget_of(scene.router, "model").left = 0.0
+            answer = await call(scene, CHAT, timeout_ms=4_000)
+            runs = sum(one.runs.total() for one in endpoints_of(scene, "model"))
+            return answer, runs
+
+    context.answer, context.n_runs = asyncio.run(play())
+
+
+@then("the stream is whole, and one endpoint ran it")
+def check_silence(context):
+    assert context.answer.whole and context.answer.body.count(b"id:") == 5, (
+        context.answer
+    )
+    assert context.n_runs == 1, context.n_runs
--- /dev/null
+++ b/tests/spreads/spreads.feature
@@ -0,0 +1,51 @@
+Feature: Where prompts go under the loads that routers meet
+
+  No scenario here opens a connection: the decisions are played over a list of
+  endpoints, as several routers would take them.
+
+  Scenario: A returning chat finds its context, whichever router it comes to
+    Given 9 endpoints and 400 contexts
+    When 6 routers place each context, with the list in orders of their own
+    Then all routers name the same endpoint for each context
+
+  Scenario: One endpoint joins
+    Given 9 endpoints and 400 contexts
+    When one endpoint joins
+    Then at most 0.18 of the contexts move, all of them to the one that joined
+    And each moved context is copied from the endpoint that had it
+
+  Scenario: One endpoint drains
+    Given 9 endpoints and 400 contexts
+    When one endpoint drains
+    Then only its own contexts move
+    And each moved context is copied from the endpoint that drains
+
+  Scenario: One context gets much of the traffic
+    Given 9 endpoints and 400 contexts
+    When one context gets 0.4 of 900 requests that all stay in flight
+    Then no endpoint holds more than twice the mean and 3 requests
+
+  Scenario: Every router starts again with nothing kept
+    Given 9 endpoints and 400 contexts
+    When an endpoint has joined and then all routers start again
+    Then all routers name the same endpoints as before
+
+  Scenario: All endpoints are over the bound
+    Given 3 endpoints and 1 contexts
+    When every endpoint holds the same large load
+    Then an endpoint is chosen all the same
+
+  Scenario: Short requests fill the endpoints evenly
+    Given 4 endpoints and 1 contexts
+    When 200 short requests come and all stay in flight
+    Then no endpoint holds more than 51 requests
+
+  Scenario Outline: The wait of a watch at <n_routers> routers
+    When <n_routers> routers watch a store whose changes bind within 2000 ms
+    Then each watch waits <wait_ms> ms
+
+    Examples:
+      | n_routers | wait_ms |
+      | 1         | 1000    |
+      | 12        | 1200    |
+      | 600       | 1400    |
