Serve metrics and status, and explain a request from its id

plantainpulley explain reads the logs of several processes. The operations page names every reason, metric and event of the new router too: the test that holds the page against the sources now reads the new packages as well.

--- /dev/null
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -0,0 +1,91 @@
+"""What a router shows to operators: its metrics, and its beliefs with their ages."""
+
+import json
+
+from pulley_http import Request, Response
+
+from .beliefs import age_ms
+from .counters import render_metrics
+from .loads import estimate_load, is_held_off
+from .routers import Router
+from .trust import is_ready, is_trusted
+
+METRICS_PATH = "/metrics"
+STATUS_PATH = "/status"
+TEXT_TYPE = [(b"content-type", b"text/plain; version=0.0.4")]
+JSON_TYPE = [(b"content-type", b"application/json")]
+
+
+async def answer_admin(router: Router, request: Request) -> Response:
+    """Answer an operator's question."""
+    if request.path == METRICS_PATH:
+        text = render_metrics(router.counters, read_gauges(router))
+        return Response(200, list(TEXT_TYPE), text)
+    if request.path == STATUS_PATH:
+        status = json.dumps(describe_router(router), indent=1).encode()
+        return Response(200, list(JSON_TYPE), status)
+    return Response(404)
+
+
+def read_gauges(router: Router) -> dict[str, float]:
+    """Give the values that go up and down."""
+    beliefs = router.beliefs
+    version = getattr(beliefs.configuration, "version", 0)
+    return {
+        "plantainpulley_direct_in_flight": router.n_in_flight,
+        "plantainpulley_direct_ready": int(is_ready(router)),
+        "plantainpulley_direct_endpoints": len(beliefs.endpoints),
+        "plantainpulley_direct_routers": len(beliefs.routers),
+        "plantainpulley_direct_configuration_version": getattr(
+            configuration, "version", 0
+        ),
+        "plantainpulley_direct_configuration_age_ms": age_ms(beliefs) or 0,
+        "plantainpulley_direct_open_channels": router.pool.n_open.total(),
+        "plantainpulley_direct_opened_channels": router.pool.n_opened,
+    }
+
+
+def describe_router(router: Router) -> dict:
+    """Give a router's beliefs with their ages in ms, for people."""
+    beliefs = router.beliefs
+    now_ms = router.clock.now_ms()
+    return {
+        "instance": router.settings.instance,
+        "ready": is_ready(router),
+        "in_flight": router.n_in_flight,
+        "configuration": {
+            "version": getattr(beliefs.configuration, "version", None),
+            "age_ms": age_ms(beliefs),
+            "trusted": is_trusted(router),
+            "store_failing_ms": ago_ms(now_ms, beliefs.failing_since_ms),
+        },
+        "routers": sorted(beliefs.routers),
+        "retries_left": {
+            service: round(budget.left, 1) for service, budget in router.budgets.items()
+        },
+        "endpoints": [
+            describe_endpoint(router, name, now_ms) for name in beliefs.endpoints
+        ],
+    }
+
+
+def describe_endpoint(router: Router, name: str, now_ms: int) -> dict:
+    """Give what the router believes of one endpoint."""
+    endpoint = router.beliefs.endpoints[name]
+    state = router.loads.states.get(name)
+    return {
+        "name": name,
+        "service": endpoint.service,
+        "address": endpoint.address,
+        "draining": endpoint.draining,
+        "lapsed": name in router.beliefs.lapsed,
+        "held_off": is_held_off(router.loads, name),
+        "load": round(estimate_load(router.loads, name), 1),
+        "in_flight": 0 if state is None else state.in_flight,
+        "reported_ms_ago": None if state is None else now_ms - state.reported_ms,
+    }
+
+
+def ago_ms(now_ms: int, since_ms: int | None) -> int | None:
+    """Give how long ago a reading was, None where there is none."""
+    return None if since_ms is None else now_ms - since_ms
--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -9,6 +9,7 @@
 from pulley_base import Clock, boot_time_ms, log_event, to_seconds
 from pulley_http import Request, Response, Server, start_server
 
+from .admin import answer_admin
 from .announcements import announce
 from .beliefs import Beliefs
 from .channels import ChannelPool, close_idle
@@ -39,6 +40,7 @@
     router: Router
     front: Server
     ready: Server
+    admin: Server | None
     tasks: list[asyncio.Task]
 
 
@@ -83,6 +85,7 @@
     ready = await listen(
         settings.ready_address, lambda request: answer_ready(router, request)
     )
+    admin = await listen_admin(router)
     log_event(logger, "started", instance=settings.instance, at_ms=clock.now_ms())
     within_ms = settings.bounds.configuration_ms
     tasks = [
@@ -90,17 +93,17 @@
         asyncio.create_task(announce(store, router)),
         asyncio.create_task(keep_house(router, front)),
     ]
-    return RunningRouter(router, front, ready, tasks)
+    return RunningRouter(router, front, ready, admin, tasks)
 
 
 def close_router(running: RunningRouter) -> None:
     """End the tasks and close every connection."""
     for task in running.tasks:
         task.cancel()
-    running.front.listener.close()
-    running.ready.listener.close()
-    for connection in [*running.front.connections, *running.ready.connections]:
-        connection.abort()
+    for server in filter(None, (running.front, running.ready, running.admin)):
+        server.listener.close()
+        for connection in list(server.connections):
+            connection.abort()
     close_idle(running.router.pool, set())
 
 
@@ -110,6 +113,15 @@
     return await start_server(handler, host, int(port), **options)
 
 
+async def listen_admin(router: Router) -> Server | None:
+    """Listen for metrics and status where the settings name a port."""
+    settings = router.settings
+    if not settings.metrics_port:
+        return None
+    address = f"{settings.ip}:{settings.metrics_port}"
+    return await listen(address, lambda request: answer_admin(router, request))
+
+
 async def answer_ready(router: Router, request: Request) -> Response:
     """Answer the balancer's question."""
     if request.path != READY_PATH:
--- a/packages/direct/src/pulley_direct/counters.py
+++ b/packages/direct/src/pulley_direct/counters.py
@@ -50,19 +50,20 @@
 
     def collect():
         for name, label, counts in (
-            ("pulley_answers", "status", counters.answers),
-            ("pulley_refusals", "reason", counters.refusals),
-            ("pulley_retries", "reason", counters.retries),
-            ("pulley_attempt_failures", "reason", counters.failures),
+            ("plantainpulley_direct_answers", "status", counters.answers),
+            ("plantainpulley_direct_refusals", "reason", counters.refusals),
+            ("plantainpulley_direct_retries", "reason", counters.retries),
+            ("plantainpulley_direct_attempt_failures", "reason", counters.failures),
         ):
             family = CounterMetricFamily(name, f"{name} by {label}", labels=[label])
             for key, count in counts.items():
                 family.add_metric([str(key)], count)
             yield family
         for name, value in gauges.items():
-            yield GaugeMetricFamily(name, name, value=value)
+            yield GaugeMetricFamily(name, "the present value", value=value)
         histogram = HistogramMetricFamily(
-            "pulley_first_byte_ms", "time to the first byte of an answer, in ms"
+            "plantainpulley_direct_first_byte_ms",
+            "time to the first byte of an answer, in ms",
         )
         histogram.add_metric(
             [], list(bucket_pairs(counters.first_byte)), counters.first_byte.total_ms
--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -221,7 +221,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterSettings:
-    """Everything that a router is told at its start."""
+    """Everything that a router is told at its start.
+
+    ``metrics_port`` is 0 where nothing is shown to operators.
+    """
 
     instance: str
     ip: str
--- a/packages/router/src/pulley_router/cli.py
+++ b/packages/router/src/pulley_router/cli.py
@@ -5,6 +5,7 @@
 from pulley_base.settings import run_command, settings_command
 
 from .app import route
+from .explain import explain
 from .operators import operator_commands
 from .settings import RouterSettings
 
@@ -16,6 +17,7 @@
             RouterSettings, route, "Take callers' requests and route them."
         ),
         **operator_commands(),
+        "explain": explain,
     }
     return run_command(commands, sys.argv[1:])
 
--- /dev/null
+++ b/tests/logs/steps/logs.py
@@ -0,0 +1,174 @@
+"""Steps that write logs, read them back and ask a router for its state."""
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+import sys
+import time
+from pathlib import Path
+
+from behave import given, then, when
+
+from pulley_adapter.headers import DIALECT
+from pulley_base import Clock
+from pulley_base.log_lines import read_lines
+from pulley_direct.admin import answer_admin
+from pulley_direct.beliefs import Beliefs, apply_facts, note_success
+from pulley_direct.channels import ChannelPool
+from pulley_direct.counters import observe_ms
+from pulley_direct.loads import LoadTable, state_of
+from pulley_direct.logs import BURST_LINES, BoundedStream, LineBudget
+from pulley_direct.models import Configuration, Endpoint, RouterSettings
+from pulley_direct.routers import Router
+from pulley_http import Limits, Request
+from pulley_router.explain import explain, format_line, tell_story
+
+LOST = 'time="1" event=store_lost reason="no answer" age_ms=2511'
+LATER = 'time="3" event=store_regained lasted_ms=9'
+REFUSED = (
+    'time="2" event=request_refused request=r-1 status=503 '
+    'reason=configuration-stale detail="last confirmed 5415 ms ago"'
+)
+OTHER = 'time="1" event=request_answered request=r-2 status=200'
+
+
+@when("a process logs {n_lines:d} lines into a pipe that nobody reads")
+def play_stopped_reader(context, n_lines):
+    reader, writer = os.pipe()
+    now_ms = [0]
+    budget = LineBudget(Clock(lambda: now_ms[0]), left=float(n_lines))
+    stream = BoundedStream(writer, budget)
+    started = time.monotonic()
+    for number in range(n_lines):
+        now_ms[0] += 10
+        stream.write(f"event=test number={number} {'x' * 200}\n")
+    context.took_s = time.monotonic() - started
+    context.n_dropped = budget.n_dropped
+    os.read(reader, 1 << 20)
+    stream.write("event=after\n")
+    context.said = os.read(reader, 1 << 20).decode()
+    os.close(reader)
+    os.close(writer)
+
+
+@then("it took less than {seconds:d} s")
+def check_time(context, seconds):
+    assert context.took_s < seconds, context.took_s
+
+
+@then("the first line written after the reader is back says how many were lost")
+def check_dropped(context):
+    assert context.n_dropped > 0
+    expected = f"event=lines_dropped count={context.n_dropped}\nevent=after\n"
+    assert context.said == expected, context.said
+
+
+@when("a process logs {n_lines:d} lines at once")
+def play_burst(context, n_lines):
+    reader, writer = os.pipe()
+    stream = BoundedStream(writer, LineBudget(Clock(lambda: 0)))
+    for _ in range(n_lines):
+        stream.write("x\n")
+    context.n_written = os.read(reader, 1 << 20).count(b"\n")
+    os.close(reader)
+    os.close(writer)
+
+
+@then("at most {most:d} of them are written")
+def check_written(context, most):
+    assert BURST_LINES == most
+    assert 0 < context.n_written <= most, context.n_written
+
+
+@given("logs of two routers, one of which lost the store")
+def given_logs(context):
+    context.lines = [
+        *read_lines("a.log", [LATER, REFUSED, LOST, "no event here"]),
+        *read_lines("b.log", [OTHER, LOST]),
+    ]
+
+
+@when("the story of a refused request is asked for")
+def play_story(context):
+    story = tell_story("r-1", context.lines)
+    context.story = [format_line(line) for line in story.background + story.lines]
+
+
+@then("it begins with the lost store and ends with the refusal")
+def check_story(context):
+    first, last = context.story
+    assert "store_lost  reason=no answer" in first, first
+    assert "detail=last confirmed 5415 ms ago" in last, last
+
+
+@then("it names no line of the other router")
+def check_no_other(context):
+    assert not any("b.log" in line for line in context.story), context.story
+
+
+@when("explain is run for {case}")
+def play_explain(context, case):
+    err = io.StringIO()
+    with contextlib.redirect_stderr(err):
+        if case == "a file that is missing":
+            context.status = explain("r-1", "missing.log")
+        else:
+            context.status = explain("nobody", str(Path(__file__)))
+    context.said = err.getvalue()
+
+
+@then('it exits with {status:d} and says "{text}"')
+def check_explain(context, status, text):
+    assert (context.status, text in context.said) == (status, True), context.said
+
+
+def make_router():
+    clock = Clock(lambda: 5_000)
+    settings = RouterSettings(
+        "router-1", "127.0.0.1", "here", "127.0.0.1:1", "127.0.0.1:2", (0, 0), "x:1"
+    )
+    beliefs = Beliefs(clock)
+    router = Router(
+        settings, DIALECT, clock, beliefs, ChannelPool(clock), LoadTable(clock)
+    )
+    found = Configuration(7, (), {}, Limits(), {}, True)
+    apply_facts(beliefs, [found, Endpoint("e-1", "shop", "10.0.0.1:80", "here", 4)])
+    note_success(beliefs, 4_200)
+    state_of(router.loads, "e-1").in_flight = 3
+    return router
+
+
+@when("a router that has answered and refused requests is asked")
+def play_admin(context):
+    router = make_router()
+    router.counters.answers[200] += 2
+    router.counters.refusals["no-route"] += 1
+    observe_ms(router.counters.first_byte, 40)
+    context.texts = {}
+    for path in ("/metrics", "/status"):
+        response = asyncio.run(answer_admin(router, Request("GET", path, [], b"")))
+        context.texts[path] = response.body.decode()
+    assert "prometheus_client" in sys.modules
+
+
+@then("its metrics count both, and time the answer")
+def check_metrics(context):
+    text = context.texts["/metrics"]
+    for line in (
+        'plantainpulley_direct_answers_total{status="200"} 2.0',
+        'plantainpulley_direct_refusals_total{reason="no-route"} 1.0',
+        'plantainpulley_direct_first_byte_ms_bucket{le="50"} 1.0',
+        "plantainpulley_direct_configuration_age_ms 800.0",
+    ):
+        assert line in text, text
+
+
+@then("its status gives the version in force, its age and each endpoint's load")
+def check_status(context):
+    status = json.loads(context.texts["/status"])
+    assert status["configuration"]["version"] == 7, status
+    assert status["configuration"]["age_ms"] == 800, status
+    (endpoint,) = status["endpoints"]
+    assert (endpoint["name"], endpoint["load"]) == ("e-1", 3), status
--- a/tests/operators/steps/pages.py
+++ b/tests/operators/steps/pages.py
@@ -22,14 +22,26 @@
 )
 
 OPERATIONS = ROOT / "docs" / "OPERATIONS.md"
-PRODUCTS = ("base", "rules", "http", "wire", "platform", "fleet", "router", "agent")
+PRODUCTS = (
+    "base",
+    "rules",
+    "http",
+    "wire",
+    "platform",
+    "fleet",
+    "router",
+    "agent",
+    "direct",
+)
+ADAPTER = ROOT / "platform" / "src" / "pulley_adapter"
 METRIC = re.compile(r'"(plantainpulley_\w+)"')
 EVENT = re.compile(r"(?:log|warn)_event\(\s*logger,\s*\"(\w+)\"")
 
 
 def read_sources() -> str:
     """Give the text of every module of the product packages."""
-    paths = (p for name in PRODUCTS for p in (ROOT / "packages" / name).rglob("*.py"))
+    folders = [ROOT / "packages" / name for name in PRODUCTS] + [ADAPTER]
+    paths = (path for folder in folders for path in folder.rglob("*.py"))
     return "\n".join(path.read_text() for path in paths)
 
 
