--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -36,9 +36,7 @@
         "plantainpulley_direct_ready": int(is_ready(router)),
         "plantainpulley_direct_endpoints": len(beliefs.endpoints),
         "plantainpulley_direct_routers": len(beliefs.routers),
-        "plantainpulley_direct_configuration_version": getattr(
-            configuration, "version", 0
-        ),
+        "plantainpulley_direct_configuration_version": version,
         "plantainpulley_direct_configuration_age_ms": age_ms(beliefs) or 0,
         "plantainpulley_direct_open_channels": router.pool.n_open.total(),
         "plantainpulley_direct_opened_channels": router.pool.n_opened,
--- a/packages/direct/src/pulley_direct/followers.py
+++ b/packages/direct/src/pulley_direct/followers.py
@@ -21,8 +21,9 @@
 DEAF_MS = 1_000
 RETRY_FIRST_MS = 50
 RETRY_MOST_MS = 500
-# Changes come in groups: after one, the next are waited for and read together.
-GATHER_MS = 150
+# Changes come in groups: after one, the next are waited for and read together, for
+# a part of the time in which they have to be in force.
+GATHER_SHARE = 0.2
 # Configurations that follow each other faster are read whole, the last one only.
 STORM_MS = 1_000
 MS_PER_S = 1_000
@@ -49,11 +50,14 @@
     ``configuration_ms`` is the time in which a change has to be in force.
     """
     progress = Progress()
+    gather_ms = int(configuration_ms * GATHER_SHARE)
     while True:
         started_ms = clock.now_ms()
         wait_ms = watch_wait_ms(configuration_ms, len(beliefs.routers))
         try:
-            delay_ms = await follow_once(store, beliefs, clock, progress, wait_ms)
+            delay_ms = await follow_once(
+                store, beliefs, clock, progress, wait_ms, gather_ms
+            )
             progress.n_failures = 0
         except PulleyError as error:
             delay_ms = note_call_failure(beliefs, progress, started_ms, str(error))
@@ -83,6 +87,7 @@
     clock: Clock,
     progress: Progress,
     wait_ms: int,
+    gather_ms: int,
 ) -> int:
     """Make one read or one watch; gives the delay before the next in ms."""
     started_ms = clock.now_ms()
@@ -105,7 +110,7 @@
     progress.revision = changes.revision
     if version_of(beliefs) != version:
         note_version(progress, clock.now_ms())
-    return GATHER_MS if changes.facts else 0
+    return gather_ms if changes.facts else 0
 
 
 def watch_known_ms(changes: Changes, started_ms: int, wait_ms: int) -> int:
