--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -25,8 +25,8 @@
 from .budgets import reserve_retry
 from .channels import Channel, acquire_channel, close_channel, release_channel
 from .jobs import AttemptFailed, Job
-from .loads import is_held_off, note_report, state_of
-from .models import AnswerFacts, AttemptTerms, Endpoint, Kind, Route
+from .loads import is_unreachable, note_report, state_of
+from .models import AnswerFacts, AttemptTerms, Endpoint, Kind
 from .placing import Target
 from .routers import Router
 
@@ -37,7 +37,7 @@
 
 # How often a silent endpoint is looked at again.
 LOOK_MS = 150
-# Silence that is enough where the endpoint has just failed another request.
+# Silence that is enough where the endpoint can't be connected to either.
 SUSPECT_WAIT_MS = 250
 # Callers of a stream leave after two seconds without an event at the earliest.
 STREAM_WAIT_MS = 1_300
@@ -271,9 +271,9 @@
         left_ms = job.deadline_ms - now_ms
         if left_ms <= 0:
             raise Unanswered("the deadline has passed", step="wait", early=False)
-        held_off = is_held_off(router.loads, endpoint.name)
+        unreachable = is_unreachable(router.loads, endpoint.name)
         silent_ms = now_ms - started_ms
-        if job.may_resend and may_abandon(job.route, silent_ms, held_off):
+        if job.may_resend and may_abandon(job, silent_ms, unreachable):
             if has_other_endpoint(router, job) and reserve_retry(router, job):
                 raise Unanswered("nothing came", step="wait", early=True)
         if await read_within(connection, min(left_ms, LOOK_MS)):
@@ -297,13 +297,17 @@
     return True
 
 
-def may_abandon(route: Route, silent_ms: int, held_off: bool) -> bool:
-    """Tell whether an attempt that brings nothing is better made elsewhere."""
-    if held_off:
+def may_abandon(job: Job, silent_ms: int, unreachable: bool) -> bool:
+    """Tell whether an attempt that brings nothing is better made elsewhere.
+
+    A stream that has not begun may wait for its turn at a busy endpoint, where a
+    second copy of it would only add to the queue.
+    """
+    if unreachable:
         return silent_ms >= SUSPECT_WAIT_MS
-    if route.kind is Kind.STREAM:
-        return silent_ms >= STREAM_WAIT_MS
-    return silent_ms >= ANSWER_WAIT_TARGETS * route.target_ms
+    if job.route.kind is Kind.STREAM:
+        return job.streaming and silent_ms >= STREAM_WAIT_MS
+    return silent_ms >= ANSWER_WAIT_TARGETS * job.route.target_ms
 
 
 async def read_whole_body(exchange: Exchange, job: Job) -> bytes:
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -14,7 +14,7 @@
 )
 from .budgets import earn_retry, spend_retry
 from .jobs import AttemptFailed, Job
-from .loads import note_failure, note_success
+from .loads import note_failure, note_success, state_of
 from .models import Kind
 from .placing import Target, choose_target
 from .routers import Router
@@ -112,6 +112,8 @@
     held_until_ms = None
     if speaks_against(router, job, failure):
         held_until_ms = note_failure(router.loads, name)
+    if failure.reason is Reason.ENGINE_UNREACHABLE:
+        state_of(router.loads, name).unreachable = True
     log_event(
         logger,
         "attempt_failed",
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -15,7 +15,8 @@
     ``deadline_ms`` is a reading of the router's clock. ``sent`` lists the
     endpoints that it was sent to in order; ``may_have_run`` says whether one of
     them may have begun to work on it, ``retry_reserved`` that its next retry has
-    been taken out of the budget already.
+    been taken out of the budget already, ``streaming`` that its caller has had
+    the first event.
     """
 
     call: Call
@@ -30,6 +31,7 @@
     excluded: set[str] = field(default_factory=set)
     may_have_run: bool = False
     retry_reserved: bool = False
+    streaming: bool = False
     fallback: Response | None = None
 
     @property
--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -18,7 +18,8 @@
 
     ``others`` is what the endpoint last reported beyond this router's own
     requests, known at ``reported_ms``. It gets no work until ``held_until_ms``
-    unless no other endpoint is left.
+    unless no other endpoint is left. ``unreachable`` says that the last try to
+    connect to it failed.
     """
 
     in_flight: int = 0
@@ -26,6 +27,7 @@
     reported_ms: int = 0
     n_failures: int = 0
     held_until_ms: int = 0
+    unreachable: bool = False
 
 
 @dataclass(slots=True)
@@ -66,6 +68,7 @@
     state = state_of(table, name)
     state.n_failures = 0
     state.held_until_ms = 0
+    state.unreachable = False
 
 
 def note_failure(table: LoadTable, name: str) -> int:
@@ -83,6 +86,12 @@
     return state is not None and state.held_until_ms > table.clock.now_ms()
 
 
+def is_unreachable(table: LoadTable, name: str) -> bool:
+    """Tell whether the last try to connect to an endpoint failed."""
+    state = table.states.get(name)
+    return state is not None and state.unreachable
+
+
 def forget_missing(table: LoadTable, listed: set[str]) -> None:
     """Drop the states of endpoints that are no longer listed and hold nothing."""
     idle = (name for name, state in table.states.items() if not state.in_flight)
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -106,6 +106,7 @@
                 Reason.CONNECTION_LOST, str(error), exchange.endpoint
             ) from error
         stream.first = take_events(stream.buffer, piece or b"")
+    job.streaming = True
     headers = [
         pair for pair in end_to_end(exchange.headers) if pair[0] != b"content-length"
     ]
