Share an endpoint's channels between routers; end failed resumptions cleanly

Found in reading: a resumption that was cancelled while its refusal was read left its channel open and its endpoint's count too high; an endpoint's own error to a resumption was taken for a refusal; the configured limit on channels was read and not kept.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -22,7 +22,7 @@
 )
 
 from .beliefs import usable_endpoints
-from .budgets import reserve_retry
+from .budgets import count_routers, reserve_retry
 from .channels import Channel, acquire_channel, close_channel, release_channel
 from .jobs import AttemptFailed, Job
 from .loads import is_unreachable, note_report, state_of
@@ -32,8 +32,11 @@
 
 logger = logging.getLogger(__name__)
 
+# More than any answer that is held whole, and a small part of a router's memory.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MISDIRECTED = 421
+# Endpoints reset channels over their limit; routers that start or stop share it too.
+CHANNEL_MARGIN = 0.9
 
 # How often a silent endpoint is looked at again.
 LOOK_MS = 150
@@ -90,6 +93,14 @@
 
 async def open_channel(router: Router, endpoint: Endpoint) -> Channel:
     """Give a channel to an endpoint; nothing has been sent where that fails."""
+    if is_at_limit(router, endpoint):
+        raise AttemptFailed(
+            Reason.ENDPOINT_BUSY,
+            "all of this router's channels are taken",
+            endpoint,
+            reached=False,
+            may_have_run=False,
+        )
     try:
         return await acquire_channel(router.pool, endpoint.address)
     except PulleyError as error:
@@ -102,6 +113,17 @@
         ) from error
 
 
+def is_at_limit(router: Router, endpoint: Endpoint) -> bool:
+    """Tell whether this router's part of an endpoint's channels is in use."""
+    service = router.beliefs.configuration.services.get(endpoint.service)
+    if service is None or not service.max_connections:
+        return False
+    if router.pool.idle.get(endpoint.address):
+        return False
+    part = service.max_connections * CHANNEL_MARGIN / count_routers(router)
+    return router.pool.n_open[endpoint.address] >= max(1, int(part))
+
+
 async def send_on_channel(
     router: Router,
     job: Job,
--- a/packages/direct/src/pulley_direct/budgets.py
+++ b/packages/direct/src/pulley_direct/budgets.py
@@ -6,8 +6,10 @@
 from .jobs import Job
 from .routers import Router
 
-# Each router takes this part of its share of the fleet's retry budget.
+# Each router takes this part of its share of the fleet's retry budget; the rest is
+# for routers that have just started with a full share of their own.
 BUDGET_MARGIN = 0.6
+# A router that has not heard of others yet counts these.
 FEWEST_ROUTERS = 4
 
 
@@ -51,6 +53,10 @@
 
 def budget_maximum(router: Router) -> float:
     """Give the retries that this router may have in hand at a time."""
-    n_routers = max(FEWEST_ROUTERS, len(router.beliefs.routers))
     slack = router.settings.bounds.retry_slack * BUDGET_MARGIN
-    return max(1.0, slack / n_routers)
+    return max(1.0, slack / count_routers(router))
+
+
+def count_routers(router: Router) -> int:
+    """Give how many routers share what endpoints allow to all of them."""
+    return max(FEWEST_ROUTERS, len(router.beliefs.routers))
--- a/packages/direct/src/pulley_direct/channels.py
+++ b/packages/direct/src/pulley_direct/channels.py
@@ -8,9 +8,11 @@
 from pulley_base import Clock
 from pulley_http.connections import ClientConnection, open_connection
 
+# Many times a round trip between data centres, and under the shortest target.
 CONNECT_TIMEOUT_MS = 200
 # An endpoint that acknowledges nothing for this long is gone.
 SILENCE_MS = 700
+# Endpoints that say nothing of it close idle channels after some seconds.
 IDLE_LIMIT_MS = 4_000
 # A connection is not used again this shortly before its endpoint closes it.
 IDLE_MARGIN_MS = 500
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -22,7 +22,10 @@
 
 logger = logging.getLogger(__name__)
 
+# A full endpoint has finished several short requests after this time, and callers
+# with a second to wait still come back in theirs.
 RETRY_AFTER_MS = 200
+FIRST_ERROR = 300
 SERVER_ERROR = 500
 # An endpoint that is silent for this long is held off.
 TELLING_WAIT_MS = 800
@@ -55,11 +58,8 @@
     endpoint = target.endpoint
     exchange = await start_exchange(router, job, target, None)
     try:
-        if exchange.facts.not_run or exchange.status == MISDIRECTED:
-            await read_rejection(exchange, job)
-        if exchange.facts.encoded:
-            raise AttemptFailed(Reason.ENGINE_ERROR, "an encoded body", endpoint)
-        if job.route.kind is Kind.STREAM and exchange.status < 300:
+        await check_exchange(exchange, job)
+        if job.route.kind is Kind.STREAM and exchange.status < FIRST_ERROR:
             return await open_stream(router, job, exchange, resume_stream)
         body = await read_whole_body(exchange, job)
     except BaseException:
@@ -71,6 +71,15 @@
     return Response(exchange.status, headers, body)
 
 
+async def check_exchange(exchange: Exchange, job: Job) -> None:
+    """Raise AttemptFailed for an answer that is none to the request."""
+    if exchange.facts.not_run or exchange.status == MISDIRECTED:
+        await read_rejection(exchange, job)
+    if exchange.facts.encoded:
+        text = "an encoded body"
+        raise AttemptFailed(Reason.ENGINE_ERROR, text, exchange.endpoint)
+
+
 async def read_rejection(exchange: Exchange, job: Job) -> None:
     """Read the answer of an endpoint that did not run the request, and raise."""
     await read_whole_body(exchange, job)
@@ -90,19 +99,29 @@
         target = choose_target(router, job)
         if target is None:
             return None
-        exchange = None
         try:
-            exchange = await start_exchange(router, job, target, last_event_id)
-            if exchange.status < 300 and not exchange.facts.encoded:
-                return exchange
-            await read_rejection(exchange, job)
+            return await start_resumed(router, job, target, last_event_id)
         except AttemptFailed as failure:
-            if exchange is not None:
-                end_exchange(exchange)
             note_attempt_failure(router, job, failure)
     return None
 
 
+async def start_resumed(
+    router: Router, job: Job, target: Target, last_event_id: int | None
+) -> Exchange:
+    """Start one attempt that goes on with a stream; raises AttemptFailed."""
+    exchange = await start_exchange(router, job, target, last_event_id)
+    try:
+        await check_exchange(exchange, job)
+        if exchange.status >= FIRST_ERROR:
+            text = f"status {exchange.status}"
+            raise AttemptFailed(Reason.ENGINE_ERROR, text, target.endpoint)
+    except BaseException:
+        end_exchange(exchange)
+        raise
+    return exchange
+
+
 def note_attempt_failure(router: Router, job: Job, failure: AttemptFailed) -> None:
     """Remember what a failed attempt says of its endpoint and of the job."""
     name = failure.endpoint.name
--- a/packages/direct/src/pulley_direct/events.py
+++ b/packages/direct/src/pulley_direct/events.py
@@ -1,7 +1,7 @@
 """Server-sent events: whole events out of bytes, and their ids."""
 
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
@@ -16,7 +16,6 @@
 
     pending: bytes = b""
     last_id: int | None = None
-    n_events: int = field(default=0)
 
 
 def take_events(buffer: EventBuffer, data: bytes) -> bytes:
@@ -32,7 +31,6 @@
     end = 0
     for match in EVENT_END.finditer(pending):
         end = match.end()
-        buffer.n_events += 1
     buffer.pending = pending[end:]
     whole = pending[:end]
     ids = EVENT_ID.findall(whole)
--- a/packages/direct/src/pulley_direct/followers.py
+++ b/packages/direct/src/pulley_direct/followers.py
@@ -19,6 +19,7 @@
 WATCHES_PER_S = 10
 # Watches may miss changes for this long before the store drops its history.
 DEAF_MS = 1_000
+# A store that is back is found within half a second, at two calls a second.
 RETRY_FIRST_MS = 50
 RETRY_MOST_MS = 500
 # Changes come in groups: after one, the next are waited for and read together, for
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -18,12 +18,14 @@
 
 logger = logging.getLogger(__name__)
 
+# For callers that don't say how long they wait; their route's timeout is shorter.
 DEFAULT_TIMEOUT_MS = 60_000
 # A request that arrives before the router knows anything waits for this long.
 LEARN_WAIT_MS = 2_000
 # A request that arrives just as the router has woken from a pause waits this long
 # for the store's answer.
 CONFIRM_WAIT_MS = 250
+# A caller that is refused after this part of its time can still try another router.
 WAIT_SHARE = 0.3
 # Another router can take the request at once.
 RETRY_ELSEWHERE_MS = 10
@@ -34,9 +36,9 @@
 async def handle_request(router: Router, request: Request) -> Response:
     """Answer one caller."""
     arrived_ms = router.clock.now_ms()
-    router.n_in_flight += 1
     call = router.dialect.read_call(request)
     job = None
+    router.n_in_flight += 1
     try:
         body = await read_all(request.body)
         job = await admit(router, call, body, arrived_ms)
--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -8,6 +8,7 @@
 
 # A report says little once its endpoint has had time to finish most requests.
 REPORT_LIFE_MS = 3_000
+# One failure costs an endpoint little; one that stays down is tried every few seconds.
 HOLD_OFF_FIRST_MS = 250
 HOLD_OFF_MOST_MS = 4_000
 
--- a/tests/direct/direct.feature
+++ b/tests/direct/direct.feature
@@ -123,3 +123,12 @@
   Scenario: A stream is not given up for a retry that can't be made
     When an endpoint falls silent for a while and no retry is left
     Then the stream is whole, and one endpoint ran it
+
+  Scenario: A router keeps to its part of an endpoint's channels
+    When 15 callers stream at once from an endpoint that takes 50 channels
+    Then at most 11 of them run, and the others are refused as not run
+
+  Scenario: A stream that finds no other endpoint leaves nothing behind
+    When a stream breaks off and the other endpoint fails it
+    Then the stream ends without looking whole
+    And no endpoint counts a request in flight
--- a/tests/direct/steps/direct.py
+++ b/tests/direct/steps/direct.py
@@ -630,3 +630,51 @@
         context.answer
     )
     assert context.n_runs == 1, context.n_runs
+
+
+@when("{n_callers:d} callers stream at once from an endpoint that takes 50 channels")
+def play_many_streams(context, n_callers):
+    async def play():
+        async with open_scene() as scene:
+            endpoint = endpoints_of(scene, "model")[0]
+            endpoint.event_ms = 100
+            calls = [
+                call(scene, CHAT, request_id=f"request-{number}", timeout_ms=4_000)
+                for number in range(n_callers)
+            ]
+            return await asyncio.gather(*calls), endpoint.runs.total()
+
+    context.answers, context.n_runs = asyncio.run(play())
+
+
+@then("at most {most:d} of them run, and the others are refused as not run")
+def check_many_streams(context, most):
+    statuses = [one.status for one in context.answers]
+    assert 0 < context.n_runs <= most, context.n_runs
+    assert statuses.count(200) == context.n_runs, statuses
+    assert statuses.count(503) == len(statuses) - context.n_runs, statuses
+
+
+@when("a stream breaks off and the other endpoint fails it")
+def play_failed_resume(context):
+    async def play():
+        async with open_scene(n_endpoints=2) as scene:
+            models = endpoints_of(scene, "model")
+            for endpoint in models:
+                endpoint.manner = Manner.BREAKING
+            task = asyncio.create_task(call(scene, CHAT, timeout_ms=3_000))
+            while not total_runs(scene):
+                await asyncio.sleep(0)
+            for endpoint in models:
+                if not endpoint.runs:
+                    endpoint.manner = Manner.FAILING
+            answer = await task
+            states = scene.router.loads.states.values()
+            return answer, sum(state.in_flight for state in states)
+
+    context.answer, context.n_in_flight = asyncio.run(play())
+
+
+@then("no endpoint counts a request in flight")
+def check_in_flight(context):
+    assert context.n_in_flight == 0, context.n_in_flight
