--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -80,3 +80,7 @@
   Scenario: Settings that change without a signal are taken in
     When the settings file of a running router changes
     Then the router's log says that it was reloaded
+
+  Scenario: SIGHUP does not end a router that is still starting
+    When a router gets SIGHUP while it starts
+    Then it is ready all the same
--- a/tests/adapter/steps/adapter.py
+++ b/tests/adapter/steps/adapter.py
@@ -426,3 +426,44 @@
 @then("the router's log says that it was reloaded")
 def check_reloaded(context):
     assert "event=reloaded" in context.out, context.out
+
+
+def handles_hangup(pid):
+    """Tell whether a process ignores SIGHUP, which a router does while it starts."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    (caught,) = [row for row in status.splitlines() if row.startswith("SigCgt")]
+    (ignored,) = [row for row in status.splitlines() if row.startswith("SigIgn")]
+    hangup = 1 << (signal.SIGHUP - 1)
+    assert not int(caught.split()[1], 16) & hangup, "caught before it was ignored"
+    return bool(int(ignored.split()[1], 16) & hangup)
+
+
+@when("a router gets SIGHUP while it starts")
+def play_early_signals(context):
+    async def play(path):
+        store = await start_store()
+        put_item(store, "op/config", json.dumps(CONFIGURATION).encode())
+        ready = free_port()
+        path.write_text(
+            SETTINGS.format(
+                low=1, high=2, front=free_port(), ready=ready, store=store.address
+            )
+        )
+        process = run_program(path)
+        while not handles_hangup(process.pid):
+            await asyncio.sleep(0.001)
+        process.send_signal(signal.SIGHUP)
+        client = Client()
+        was_ready = await wait_ready(client, f"127.0.0.1:{ready}")
+        close_client(client)
+        process.kill()
+        process.communicate()
+        return was_ready
+
+    with tempfile.TemporaryDirectory() as folder:
+        context.ready = asyncio.run(play(Path(folder) / "local.toml"))
+
+
+@then("it is ready all the same")
+def check_early_signals(context):
+    assert context.ready
