Report every attempt of an engine's crash as a suspect

Cause of the known red claims scenario (three engines crashed instead of two): a dying process closes its connections one by one. When the first of them was reset, the agent's probe could still connect to the listening socket, so the engine counted as alive and only the attempt that had failed, a neighbour, was reported. The culprit failed 20 ms later and was dropped, since that crash had "already been reported"; it counted one crash less than it had caused.

Ruled out, by log lines added for it: lost messages between agents (all three others heard each crash within 10 ms), slow agents (the third attempt came 500 ms after the second report), another digest (the listed ones agree).

Change: a probe's connection has to stay open to count as a sign of life, and attempts that fail with a crash already reported are added to it under the same id. The lines `engine_crashed` (with digests) and `crash_heard` stay.

--- a/packages/agent/src/pulley_agent/crashes.py
+++ b/packages/agent/src/pulley_agent/crashes.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 import secrets
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -44,6 +44,7 @@
 PROBE_MS = 250
 CRASH_BYTES = 6
 MAX_REPORTED = 100
+MAX_LOGGED = 4
 
 logger = logging.getLogger(__name__)
 
@@ -51,9 +52,19 @@
 QUARANTINED = Counter("plantainpulley_quarantined", "Attempts refused in quarantine")
 
 
+@dataclass(slots=True)
+class Crash:
+    """The engine's latest crash: who was told of, and the reports under way."""
+
+    id: str
+    seen_ms: int
+    told: set[bytes] = field(default_factory=set)
+    reports: list[asyncio.Task] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class CrashWatch:
-    """The suspects that an agent knows and the crash being reported."""
+    """The suspects that an agent knows and the engine's latest crash."""
 
     store: Store
     clock: Clock
@@ -61,8 +72,7 @@
     engine: str
     suspects: Suspects
     random: Random = field(default_factory=Random)
-    crash_ms: int | None = None
-    report: asyncio.Task | None = None
+    crash: Crash | None = None
     spread: Callable[[str, list[bytes]], None] = lambda crash, digests: None
     count_agents: Callable[[], int] = lambda: 1
     alone: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -99,23 +109,42 @@
 
 
 async def report_crash(watch: CrashWatch, in_flight: Iterable[Attempt]) -> None:
-    """Report a crash with everything in flight; once for all who saw it."""
+    """Report who was in flight at a crash, and wait until that has settled.
+
+    Attempts that fail within ``SAME_CRASH_MS`` of the first belong to its crash:
+    those that its report left out are reported too, under the same id.
+    """
     now_ms = watch.clock.now_ms()
-    recent = watch.crash_ms is not None and now_ms - watch.crash_ms < SAME_CRASH_MS
-    if not recent or watch.report is None:
-        watch.crash_ms = now_ms
-        digests = [
-            attempt.digest
-            for attempt in in_flight
-            if attempt.ran and not is_over(attempt.answer)
-        ]
-        crash = secrets.token_hex(CRASH_BYTES)
+    crash = watch.crash
+    if crash is None or now_ms - crash.seen_ms >= SAME_CRASH_MS:
+        crash = watch.crash = Crash(secrets.token_hex(CRASH_BYTES), now_ms)
         CRASHES.inc()
-        warn_event(logger, "engine_crashed", crash=crash, n_in_flight=len(digests))
-        note_crash(watch.suspects, crash, digests, now_ms)
-        work = write_report(watch, crash, digests[:MAX_REPORTED])
-        watch.report = asyncio.get_running_loop().create_task(work)
-    await asyncio.shield(watch.report)
+    new = [digest for digest in running_digests(in_flight) if digest not in crash.told]
+    if new or not crash.reports:
+        crash.told.update(new)
+        log_crash(crash, new)
+        note_crash(watch.suspects, crash.id, new, now_ms)
+        work = write_report(watch, crash.id, new[:MAX_REPORTED])
+        crash.reports.append(asyncio.create_task(work))
+    await asyncio.shield(asyncio.gather(*crash.reports))
+
+
+def running_digests(attempts: Iterable[Attempt]) -> Iterator[bytes]:
+    """Yield the digests of the attempts that the engine was given and not ended."""
+    for attempt in attempts:
+        if attempt.ran and not is_over(attempt.answer):
+            yield attempt.digest
+
+
+def log_crash(crash: Crash, digests: list[bytes]) -> None:
+    """Log a crash, or more suspects of it, with the first few digests."""
+    warn_event(
+        logger,
+        "engine_crashed",
+        crash=crash.id,
+        n_in_flight=len(digests),
+        digests=",".join(digest.hex() for digest in digests[:MAX_LOGGED]),
+    )
 
 
 async def write_report(watch: CrashWatch, crash: str, digests: list[bytes]) -> None:
@@ -168,15 +197,27 @@
 
 
 async def has_crashed(watch: CrashWatch) -> bool:
-    """Tell whether the engine takes no connection any more."""
+    """Tell whether the engine takes no connection, or keeps none.
+
+    The kernel closes a dying process's connections one by one, so a connection
+    may still be accepted after others were reset. One that stays open for
+    ``PROBE_MS`` belongs to a living engine.
+    """
     host, _, port = watch.engine.rpartition(":")
     try:
         async with asyncio.timeout(to_seconds(PROBE_MS)):
-            _reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(host, int(port))
     except (OSError, TimeoutError):
         return True
-    writer.close()
-    return False
+    try:
+        async with asyncio.timeout(to_seconds(PROBE_MS)):
+            return not await reader.read(1)
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
+    finally:
+        writer.close()
 
 
 def describe_quarantine(watch: CrashWatch) -> list[str]:
--- a/packages/agent/src/pulley_agent/rumours.py
+++ b/packages/agent/src/pulley_agent/rumours.py
@@ -4,10 +4,12 @@
 of its service, once. What a lost datagram leaves out, the store makes up for.
 """
 
+import logging
 from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from pulley_base import log_event
 from pulley_fleet.ports import Reply
 from pulley_policy.means import choose_partners
 from pulley_policy.pointers import split_digests
@@ -22,6 +24,8 @@
 MAX_DIGESTS = 64
 MAX_HEARD = 1_000
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class Rumours:
@@ -82,6 +86,9 @@
         return
     if not note_heard(rumours, message):
         return
-    digests = split_digests(message.digests)
+    digests = list(split_digests(message.digests))
     note_crash(watch.suspects, message.crash, digests, watch.clock.now_ms())
+    log_event(
+        logger, "crash_heard", crash=message.crash, peer=peer, n_suspects=len(digests)
+    )
     tell_others(rumours, message)
