Give no work for a while to endpoints far worse than the others

Cause: an endpoint that fails 0.4 of its requests, or is 4 to 8 times as slow, while it is listed as healthy kept its share of the work: any answer ended its hold-off, and a late answer counted for nothing.

Change: outcomes are counted with a half-life; an endpoint a fifth bad and three times as bad as the others together gets no work for 3 s, a third of a service at most. Decisions in policy/health.py; tests/spreads/health.feature plays the patterns without a network.

A choice lists the service's endpoints once instead of twice.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -127,6 +127,7 @@
             may_have_run=False,
         )
     job.sent.append(endpoint.name)
+    job.sent_ms = router.clock.now_ms()
     connection.transport.write(encode_request(connection.h11, request, job.body))
     try:
         head, facts = await read_own_head(router, job, channel, request, endpoint)
--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -172,9 +172,10 @@
     beliefs.departed.setdefault(endpoint.name, departure)
 
 
-def service_places(beliefs: Beliefs, service: str) -> list[Place]:
-    """Give a service's endpoints, and those that left lately, as places."""
-    present = usable_endpoints(beliefs, service)
+def service_places(
+    beliefs: Beliefs, service: str, present: list[Endpoint]
+) -> list[Place]:
+    """Give a service's ``present`` endpoints, and those that left lately, as places."""
     departed = [one for one in recently_departed(beliefs) if one.service == service]
     started = [one.started_ms for one in present + departed if one.started_ms]
     since_ms = max(
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -16,6 +16,7 @@
 from .jobs import AttemptFailed, Job
 from .loads import note_failure, note_success, state_of
 from .models import Kind
+from .outcomes import note_bad, note_time
 from .placing import Target, choose_target
 from .routers import Router
 from .streams import open_stream
@@ -60,13 +61,16 @@
     try:
         await check_exchange(exchange, job)
         if job.route.kind is Kind.STREAM and exchange.status < FIRST_ERROR:
-            return await open_stream(router, job, exchange, resume_stream)
+            response = await open_stream(router, job, exchange, resume_stream)
+            note_time(router, job, endpoint)
+            return response
         body = await read_whole_body(exchange, job)
     except BaseException:
         end_exchange(exchange)
         raise
     end_exchange(exchange)
     note_success(router.loads, endpoint.name)
+    note_time(router, job, endpoint, failed=exchange.status >= SERVER_ERROR)
     headers = end_to_end(exchange.headers)
     return Response(exchange.status, headers, body)
 
@@ -131,6 +135,8 @@
     held_until_ms = None
     if speaks_against(router, job, failure):
         held_until_ms = note_failure(router.loads, name)
+    if held_until_ms is not None or failure.reason is Reason.ENDPOINT_BUSY:
+        note_bad(router, job, failure.endpoint)
     if failure.reason is Reason.ENGINE_UNREACHABLE:
         state_of(router.loads, name).unreachable = True
     log_event(
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -16,7 +16,8 @@
     endpoints that it was sent to in order; ``may_have_run`` says whether one of
     them may have begun to work on it, ``retry_reserved`` that its next retry has
     been taken out of the budget already, ``streaming`` that its caller has had
-    the first event.
+    the first event. ``sent_ms`` is when the last attempt was sent, ``bad_at`` the
+    endpoint at which one was last counted as bad.
     """
 
     call: Call
@@ -32,6 +33,8 @@
     may_have_run: bool = False
     retry_reserved: bool = False
     streaming: bool = False
+    sent_ms: int = 0
+    bad_at: str | None = None
     fallback: Response | None = None
 
     @property
--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -1,8 +1,16 @@
 """What a router knows of each endpoint's load and health."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from pulley_base import Clock
+from pulley_policy.health import (
+    PASS_OVER_MS,
+    Record,
+    is_outlier,
+    may_pass_over,
+    note_outcomes,
+)
 
 from .models import ReportedLoad
 
@@ -20,7 +28,8 @@
     ``others`` is what the endpoint last reported beyond this router's own
     requests, known at ``reported_ms``. It gets no work until ``held_until_ms``
     unless no other endpoint is left. ``unreachable`` says that the last try to
-    connect to it failed.
+    connect to it failed. ``record`` counts how well it served; up to
+    ``passed_over_until_ms`` it gets no work as it serves far worse than the others.
     """
 
     in_flight: int = 0
@@ -29,6 +38,8 @@
     n_failures: int = 0
     held_until_ms: int = 0
     unreachable: bool = False
+    record: Record = field(default_factory=Record)
+    passed_over_until_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -81,6 +92,37 @@
     return state.held_until_ms
 
 
+def note_outcome(table: LoadTable, name: str, *, good: bool) -> None:
+    """Count an answer in time, or one that was late or wrong or did not come."""
+    record = state_of(table, name).record
+    note_outcomes(record, float(good), float(not good), table.clock.now_ms())
+
+
+def pass_over_outlier(table: LoadTable, name: str, service: Iterable[str]) -> bool:
+    """Give an endpoint no work for a while if it is far worse than the others.
+
+    ``service`` names the endpoints of its service.
+    """
+    now_ms = table.clock.now_ms()
+    states = {other: state_of(table, other) for other in {name, *service}}
+    records = {other: state.record for other, state in states.items()}
+    n_passed_over = sum(one.passed_over_until_ms > now_ms for one in states.values())
+    if not is_outlier(name, records, now_ms):
+        return False
+    if not may_pass_over(n_passed_over, len(states)):
+        return False
+    states[name].passed_over_until_ms = now_ms + PASS_OVER_MS
+    return True
+
+
+def is_ready(table: LoadTable, name: str) -> bool:
+    """Tell whether an endpoint is neither held off nor passed over."""
+    state = table.states.get(name)
+    if state is None:
+        return True
+    return max(state.held_until_ms, state.passed_over_until_ms) <= table.clock.now_ms()
+
+
 def is_held_off(table: LoadTable, name: str) -> bool:
     """Tell whether an endpoint failed lately and has not answered since."""
     state = table.states.get(name)
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -8,7 +8,7 @@
 
 from .beliefs import service_places, usable_endpoints
 from .jobs import Job
-from .loads import estimate_load, is_held_off
+from .loads import estimate_load, is_held_off, is_ready
 from .models import Endpoint, Part
 from .routers import Router
 
@@ -28,28 +28,25 @@
 
 def choose_target(router: Router, job: Job) -> Target | None:
     """Give the target of a job's next attempt, None where there is none."""
-    endpoints = {
-        one.name: one
-        for one in usable_endpoints(router.beliefs, job.service)
-        if one.name not in job.excluded
-    }
+    usable = usable_endpoints(router.beliefs, job.service)
+    endpoints = {one.name: one for one in usable if one.name not in job.excluded}
     if not endpoints:
         return None
-    ready = {name for name in endpoints if not is_held_off(router.loads, name)}
+    ready = {name for name in endpoints if is_ready(router.loads, name)}
     candidates = ready or set(endpoints)
     key = shared_key(job)
     if key is not None:
-        return choose_prompt_target(router, job, key, candidates)
+        places = service_places(router.beliefs, job.service, usable)
+        return choose_prompt_target(router, job, key, candidates, places)
     options = [make_option(router, endpoints[name]) for name in candidates]
     return Target(endpoints[choose_idle(options, random).name])
 
 
 def choose_prompt_target(
-    router: Router, job: Job, key: bytes, candidates: set[str]
+    router: Router, job: Job, key: bytes, candidates: set[str], places: list[Place]
 ) -> Target:
     """Give the target of a prompt: its home, or the next within the bound."""
     endpoints = router.beliefs.endpoints
-    places = service_places(router.beliefs, job.service)
     ordered = [name for name in order_places(key, places) if name in candidates]
     options = [make_option(router, endpoints[name]) for name in ordered]
     factor = router.settings.bounds.load_factor
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -10,6 +10,7 @@
 from .events import EventBuffer, take_events
 from .jobs import AttemptFailed, Job
 from .loads import note_failure, note_success
+from .outcomes import note_bad
 from .routers import Router
 
 logger = logging.getLogger(__name__)
@@ -62,6 +63,7 @@
         self.job.may_have_run = True
         self.job.excluded.add(endpoint.name)
         note_failure(self.router.loads, endpoint.name)
+        note_bad(self.router, self.job, endpoint)
         self.router.counters.failures[Reason.CONNECTION_LOST] += 1
         resumed = None
         if self.job.route.resumable:
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -10,6 +10,7 @@
 from .jobs import Job
 from .loads import is_unreachable
 from .models import Endpoint, Kind
+from .outcomes import note_silence
 from .routers import Router
 
 # How often a silent endpoint is looked at again.
@@ -51,6 +52,7 @@
                 raise Unanswered("nothing came", step="wait", early=True)
         if await read_within(connection, min(left_ms, LOOK_MS)):
             return
+        note_silence(router, job, endpoint)
 
 
 def has_other_endpoint(router: Router, job: Job) -> bool:
--- /dev/null
+++ b/tests/spreads/health.feature
@@ -0,0 +1,40 @@
+Feature: Which endpoints get less work as they serve badly
+
+  No scenario here opens a connection. A request's outcome is drawn with a seed, and the
+  router sends each one to any endpoint that is not passed over.
+
+  Scenario: One endpoint fails part of its requests although it is listed as healthy
+    Given 9 endpoints that fail 0.02 of their requests
+    When one of them fails 0.4 for 20 s at 10 requests a second
+    Then it gets at most half of its share from the 8th second on
+
+  Scenario: The endpoint is well again
+    Given 9 endpoints that fail 0.02 of their requests
+    When one of them fails 0.4 for 20 s at 10 requests a second
+    And it is well for 30 s
+    Then it gets at least 0.7 of its share in the last 15 s
+
+  Scenario: Every endpoint loses some answers
+    Given 9 endpoints that fail 0.05 of their requests
+    When they serve for 60 s at 10 requests a second
+    Then none of them gets less than 0.6 of its share
+
+  Scenario: All endpoints are late together
+    Given 9 endpoints that fail 0.7 of their requests
+    When they serve for 20 s at 10 requests a second
+    Then none of them gets less than 0.6 of its share
+
+  Scenario: Two endpoints fail everything
+    Given 9 endpoints that fail 0.0 of their requests
+    When 2 of them fail every request for 20 s
+    Then each of them gets at most half of its share from the 8th second on
+
+  Scenario: A third of the endpoints fail everything
+    Given 7 endpoints that fail 0.0 of their requests
+    When 3 of them fail every request for 20 s
+    Then at most 2 of them are passed over at a time
+
+  Scenario: One bad outcome
+    Given 3 endpoints that fail 0.0 of their requests
+    When one of them has 1 bad outcome and 3 good ones
+    Then it is not passed over
