Renew a router's entry each 9 s instead of each 3 s

A router that is gone now counts for up to 30 s instead of 10 s, which leaves the others a smaller part each, never a larger one.

--- a/packages/direct/src/pulley_direct/announcements.py
+++ b/packages/direct/src/pulley_direct/announcements.py
@@ -11,9 +11,9 @@
 logger = logging.getLogger(__name__)
 
 # A router that is gone is counted for this long, in which it uses no budget.
-LEASE_MS = 10_000
+LEASE_MS = 30_000
 # Two renewals may be lost before the lease ends.
-RENEW_MS = 3_000
+RENEW_MS = 9_000
 RETRY_MS = 1_000
 
 
