--- /dev/null
+++ b/tests/direct/steps/outliers.py
@@ -0,0 +1,51 @@
+"""Steps with endpoints that are listed as ready and serve badly."""
+
+import asyncio
+
+from behave import then, when
+from pulley_platform_standins.endpoints import Manner
+from scenes import LOOKUP, call, open_scene
+
+
+def play_lookups(context, n, n_endpoints, n_failing):
+    """Send lookups one after the other and keep what became of them."""
+
+    async def play():
+        async with open_scene(n_endpoints) as scene:
+            shop = [one for one in scene.endpoints if one.service == "shop"]
+            for endpoint in shop[:n_failing]:
+                endpoint.manner = Manner.FAILING
+            answers = [
+                await call(scene, LOOKUP, request_id=f"request-{number}")
+                for number in range(n)
+            ]
+            return answers, [endpoint.runs.total() for endpoint in shop]
+
+    context.answers, context.n_runs = asyncio.run(play())
+
+
+@when(
+    "{n:d} lookups come one after the other while the first of {size:d} endpoints fails"
+)
+def play_one_failing(context, n, size):
+    play_lookups(context, n, size, 1)
+
+
+@when("{n:d} lookups come one after the other while all of {size:d} endpoints fail")
+def play_all_failing(context, n, size):
+    play_lookups(context, n, size, size)
+
+
+@then("it ran at most {n:d} of them")
+def check_few(context, n):
+    assert 0 < context.n_runs[0] <= n, context.n_runs
+
+
+@then("each of them ran at least {n:d}")
+def check_all(context, n):
+    assert min(context.n_runs) >= n, context.n_runs
+
+
+@then("every caller got a good answer")
+def check_answers(context):
+    assert {answer.status for answer in context.answers} == {200}
