Remove what nothing reads from the platform's program

The priorities of routes and teams are still decoded, as a test states. An entry without a zone now names its endpoint instead of being refused, as nothing needs the zone.

--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -23,6 +23,7 @@
 from .front import handle_request
 from .loads import LoadTable, forget_missing
 from .models import Dialect, RouterSettings
+from .rotation import LAST_CALLERS_MS
 from .routers import Router
 from .store_calls import StoreCalls
 from .trust import is_ready
@@ -30,9 +31,6 @@
 logger = logging.getLogger(__name__)
 
 READY_PATH = "/readyz"
-# The balancer asks for readiness each second and takes an instance out after two
-# misses; its last connections arrive up to then.
-LEAVE_ROTATION_MS = 3_500
 # Time kept for ending what is left before the process is killed.
 GRACE_MARGIN_MS = 300
 LOOK_MS = 50
@@ -166,7 +164,7 @@
     end_ms = router.stops_at_ms - GRACE_MARGIN_MS
     front.draining = True
     log_event(logger, "draining", n_in_flight=router.n_in_flight)
-    await asyncio.sleep(to_seconds(LEAVE_ROTATION_MS))
+    await asyncio.sleep(to_seconds(LAST_CALLERS_MS))
     while front.connections and clock.now_ms() < end_ms:
         for connection in list(front.connections):
             connection.close_if_idle()
--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -153,7 +153,6 @@
         endpoint=target.endpoint.name,
         left_ms=left_ms,
         team=None if job.team is None else job.team.name,
-        priority=None,
         last_event_id=last_event_id,
         context_source=target.context_source,
     )
--- a/packages/direct/src/pulley_direct/channels.py
+++ b/packages/direct/src/pulley_direct/channels.py
@@ -25,7 +25,6 @@
     connection: ClientConnection
     address: str
     expires_ms: int = 0
-    reused: bool = False
 
 
 @dataclass(slots=True)
@@ -63,7 +62,6 @@
     while kept:
         channel = kept.pop()
         if channel.expires_ms > now_ms and channel.connection.is_fresh():
-            channel.reused = True
             return channel
         close_channel(pool, channel)
     return None
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -10,7 +10,8 @@
 from .counters import observe_ms
 from .dispatch import dispatch
 from .jobs import Job
-from .models import Call, Configuration, Route
+from .models import Call, Configuration
+from .rotation import may_finish
 from .routers import Router
 from .routes import draw_service, find_route, find_team, refresh_index
 from .signals import wait_until
@@ -29,8 +30,6 @@
 WAIT_SHARE = 0.3
 # Another router can take the request at once.
 RETRY_ELSEWHERE_MS = 10
-# The balancer takes an instance out after two misses, a second apart.
-ROTATION_MS = 2_700
 
 
 async def handle_request(router: Router, request: Request) -> Response:
@@ -103,17 +102,6 @@
     return beliefs.configuration
 
 
-def may_finish(router: Router, route: Route) -> bool:
-    """Tell whether a request can be answered before the router stops.
-
-    Those that still arrive while the balancer learns of the stop are taken in
-    any case.
-    """
-    left_ms = router.stops_at_ms - router.clock.now_ms()
-    learning_ms = router.settings.bounds.grace_ms - left_ms
-    return learning_ms < ROTATION_MS or route.timeout_ms < left_ms
-
-
 def refuse_for_now(reason: Reason, detail: str) -> RequestRefused:
     """Refuse a request that was not run and may come again."""
     return RequestRefused(
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -42,13 +42,6 @@
         """Tell whether another endpoint may get the request after this one."""
         return self.route.repeatable and len(self.sent) < self.route.max_attempts
 
-    @property
-    def priority(self) -> int:
-        """The team's priority, or the route's where the team has none."""
-        if self.team is not None and self.team.priority is not None:
-            return self.team.priority
-        return self.route.priority
-
 
 class AttemptFailed(PulleyError):
     """An attempt brought no answer to pass on.
--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -38,7 +38,6 @@
     priority: int = 0
     public: bool = False
     resumable: bool = False
-    max_gap_ms: int = 0
 
     @property
     def repeatable(self) -> bool:
@@ -86,7 +85,6 @@
     name: str
     service: str
     address: str
-    data_centre: str
     slots: int = 0
     draining: bool = False
     started_ms: int = 0
@@ -158,7 +156,6 @@
     endpoint: str
     left_ms: int
     team: str | None
-    priority: int | None
     last_event_id: int | None
     context_source: str | None = None
 
