--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -88,3 +88,7 @@
   Scenario: SIGTERM ends a router that is still starting in good order
     When a router gets SIGTERM while it starts
     Then it ends with 0
+
+  Scenario: The program starts without the libraries that cost memory
+    When the program's imports are listed
+    Then none of "_ssl, _hashlib, pydantic, prometheus_client, thrift" is among them
