--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 import tempfile
 from asyncio.subprocess import Process
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from random import Random
 
@@ -40,8 +40,6 @@
 from pulley_http import Client, close_client, fetch  # noqa: E402
 from pulley_standins.relays import Relay, drop_open, open_relay, relay_address  # noqa: E402
 
-N_ROUTERS = 3
-N_CALLERS = 8
 N_EVENTS = 6
 REVOKE_MS = 3_000
 CONFIGURATION_MS = 1_000
@@ -67,6 +65,15 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class Size:
+    """How many of each take part; ``endpoints`` of each of two services."""
+
+    routers: int = 3
+    endpoints: int = 3
+    callers: int = 8
+
+
 @dataclass(slots=True)
 class Slot:
     """One router's place: its addresses and the process that runs there now."""
@@ -174,12 +181,12 @@
         await asyncio.sleep(0.002)
 
 
-async def open_fleet(folder: Path) -> Fleet:
+async def open_fleet(folder: Path, size: Size) -> Fleet:
     """Start store, endpoints, relays and routers."""
     fleet = Fleet(await start_store(), folder)
     fleet.publish()
-    for service, n_endpoints in (("shop", 3), ("model", 3)):
-        for number in range(n_endpoints):
+    for service in ("shop", "model"):
+        for number in range(size.endpoints):
             name = f"{service}-{number}"
             endpoint = await start_endpoint(
                 name, service, n_events=N_EVENTS, event_ms=30
@@ -189,7 +196,7 @@
             fleet.endpoints.append(endpoint)
             fleet.paths[name] = relay_address(relay)
             list_endpoint(fleet.store, endpoint, "ready", fleet.paths[name])
-    for number in range(N_ROUTERS):
+    for number in range(size.routers):
         await add_router(fleet, f"router-{number}")
     return fleet
 
@@ -270,15 +277,17 @@
     fleet.store.mood = Mood.WELL
 
 
-async def play_seed(seed: int, seconds: float, folder: Path) -> Fleet:
+async def play_seed(
+    seed: int, seconds: float, folder: Path, size: Size = Size()
+) -> Fleet:
     """Run one seed: faults, then a calm while in which all must be served."""
-    fleet = await open_fleet(folder)
+    fleet = await open_fleet(folder, size)
     callers = []
     try:
         await wait_ready(fleet)
         callers = [
             asyncio.create_task(run_caller(fleet, number, Random(f"{seed}-{number}")))
-            for number in range(N_CALLERS)
+            for number in range(size.callers)
         ]
         await inject_faults(fleet, seconds, Random(seed))
         await asyncio.sleep(HEAL_S)
@@ -360,8 +369,12 @@
     parser.add_argument("--first", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=5, help="how many seeds")
     parser.add_argument("--seconds", type=float, default=8.0, help="faults, seconds")
+    for name, n_default in asdict(Size()).items():
+        help_text = f"how many {name}"
+        parser.add_argument(f"--{name}", type=int, default=n_default, help=help_text)
     parser.add_argument("--logs", type=Path, help="keep the routers' logs here")
     options = parser.parse_args()
+    size = Size(options.routers, options.endpoints, options.callers)
     n_failed = 0
     for seed in range(options.first, options.first + options.seeds):
         folder = options.logs / str(seed) if options.logs else None
@@ -369,7 +382,7 @@
             folder.mkdir(parents=True, exist_ok=True)
         with tempfile.TemporaryDirectory() as scratch:
             fleet = asyncio.run(
-                play_seed(seed, options.seconds, folder or Path(scratch))
+                play_seed(seed, options.seconds, folder or Path(scratch), size)
             )
         statuses = Counter(one.answer.status for one in fleet.sent)
         print(json.dumps({"seed": seed, "broken": len(fleet.broken), **statuses}))
