--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 DOCS ?=
 KEEP ?=
 
-.PHONY: setup test lint format demo bench fuzz wire
+.PHONY: setup test lint format demo platform-demo bench fuzz wire
 
 setup: $(VENV)/.ready
 
@@ -38,6 +38,9 @@
 demo: setup
 	$(BIN)/python tools/demo.py $(if $(KEEP),--keep)
 
+platform-demo: setup
+	$(BIN)/python -m pulley_platform_standins.demo
+
 bench: setup
 	$(BIN)/python tools/load.py $(CASE) --seed $(SEED) $(if $(JSON),--json $(JSON)) \
 	  $(if $(DOCS),--docs)
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -92,3 +92,8 @@
   Scenario: The program starts without the libraries that cost memory
     When the program's imports are listed
     Then none of "_ssl, _hashlib, pydantic, prometheus_client, thrift" is among them
+
+  Scenario: The demo of the platform's way of running serves, and explains what it cut
+    When the demo is run
+    Then it exits with 0 and shows every request served
+    And it tells the cut order's story to "connection-lost"
