Take a route without a target as one that sets none

Found by reading; the new scenario of tests/spreads failed before. The users' configurations seen so far all name a target.

--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -25,7 +25,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Where the requests of one host and path prefix go, and on what terms."""
+    """Where the requests of one host and path prefix go, and on what terms.
+
+    ``target_ms`` is the time in which an answer should begin, 0 where none is set.
+    """
 
     name: str
     host: str
--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/outcomes.py
@@ -51,4 +51,5 @@
 
 def is_late(router: Router, job: Job) -> bool:
     """Tell whether the present attempt has taken longer than the route's target."""
-    return router.clock.now_ms() - job.sent_ms > job.route.target_ms
+    target_ms = job.route.target_ms
+    return bool(target_ms) and router.clock.now_ms() - job.sent_ms > target_ms
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -82,4 +82,5 @@
         return silent_ms >= SUSPECT_WAIT_MS
     if job.route.kind is Kind.STREAM:
         return job.streaming and silent_ms >= STREAM_WAIT_MS
-    return silent_ms >= ANSWER_WAIT_TARGETS * job.route.target_ms
+    target_ms = job.route.target_ms
+    return bool(target_ms) and silent_ms >= ANSWER_WAIT_TARGETS * target_ms
--- a/packages/policy/src/pulley_policy/health.py
+++ b/packages/policy/src/pulley_policy/health.py
@@ -12,7 +12,7 @@
 FEWEST_BAD = 2.0
 # More are not counted, so that a mended endpoint is back within a half-life.
 MOST_BAD = 4.0
-# A few of these cost a fifth of an endpoint's callers little when it is well again.
+# Long against a request, and short enough that a mended endpoint is soon back.
 PASS_OVER_MS = 3_000
 # An endpoint is passed over when this part of its outcomes is bad ...
 BAD_SHARE = 0.2
--- a/tests/spreads/health.feature
+++ b/tests/spreads/health.feature
@@ -38,3 +38,8 @@
     Given 3 endpoints that fail 0.0 of their requests
     When one of them has 1 bad outcome and 3 good ones
     Then it is not passed over
+
+  Scenario: A route that names no target
+    Given a lookup on a route without a target
+    When its endpoint has been silent for 5000 ms
+    Then the attempt is not given up and does not count as late
--- a/tests/spreads/steps/health.py
+++ b/tests/spreads/steps/health.py
@@ -2,11 +2,15 @@
 
 from collections import Counter
 from random import Random
+from types import SimpleNamespace
 
 from behave import given, then, when
 
 from pulley_base import Clock
 from pulley_direct.loads import LoadTable, is_ready, note_outcome, pass_over_outlier
+from pulley_direct.models import Kind, Route
+from pulley_direct.outcomes import is_late
+from pulley_direct.waits import may_abandon
 
 SEED = 5
 MS_PER_S = 1_000
@@ -122,3 +126,30 @@
 @then("it is not passed over")
 def check_kept(context):
     assert is_ready(context.play.loads, context.bad)
+
+
+@given("a lookup on a route without a target")
+def make_job(context):
+    route = Route(
+        name="lookup",
+        host="",
+        prefix="/",
+        kind=Kind.IDEMPOTENT,
+        shares=(),
+        timeout_ms=60_000,
+        target_ms=0,
+        max_attempts=2,
+    )
+    context.job = SimpleNamespace(route=route, sent_ms=0, streaming=False)
+
+
+@when("its endpoint has been silent for {ms:d} ms")
+def stay_silent(context, ms):
+    context.silent_ms = ms
+
+
+@then("the attempt is not given up and does not count as late")
+def check_waiting(context):
+    router = SimpleNamespace(clock=Clock(lambda: context.silent_ms))
+    assert not may_abandon(context.job, context.silent_ms, unreachable=False)
+    assert not is_late(router, context.job)
