--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -23,6 +22,10 @@
 sys.path[:0] = [str(ROOT / "tests" / "soak"), str(ROOT / "tests" / "direct" / "steps")]
 
 from faults import FAULTS  # noqa: E402
+from pulley_platform_standins.demo import (  # noqa: E402
+    SETTINGS as DEMO_SETTINGS,
+)
+from pulley_platform_standins.demo import free_address  # noqa: E402
 from pulley_platform_standins.endpoints import (  # noqa: E402
     StandInEndpoint,
     list_endpoint,
@@ -48,21 +51,15 @@
 CALM_S = 1.5
 CLOSE_S = 0.1
 PATIENCE_MS = 4_000
-SETTINGS = """
-node = "{name}"
-zone = "here"
-ip = "127.0.0.1"
-portRange = [1, 2]
-[listen]
-front = "127.0.0.1:{front}"
-readyAddr = "127.0.0.1:{ready}"
-[platform]
-address = "{store}"
+SETTINGS = (
+    DEMO_SETTINGS
+    + """
 [bounds]
 graceS = {grace}
 revokeMs = {revoke}
 configMs = {configuration}
 """
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,13 +142,6 @@
         slot.ending = False
 
 
-def free_port() -> int:
-    """Give a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 async def start_process(slot: Slot) -> None:
     """Start a router in its place; its log goes to a file beside the settings."""
     environment = os.environ | {"PLANTAINPULLEY_BOOT": str(slot.settings)}
@@ -205,7 +195,7 @@
     """Start one router with a path of its own to the store."""
     relay = await open_relay(fleet.store.address)
     fleet.relays.append(relay)
-    front, ready = free_port(), free_port()
+    front, ready = free_address(), free_address()
     path = fleet.folder / f"{name}.toml"
     path.write_text(
         SETTINGS.format(
@@ -218,7 +208,7 @@
             configuration=CONFIGURATION_MS,
         )
     )
-    slot = Slot(name, f"127.0.0.1:{front}", f"127.0.0.1:{ready}", path)
+    slot = Slot(name, front, ready, path)
     fleet.slots.append(slot)
     await start_process(slot)
 
