--- a/packages/policy/src/pulley_policy/health.py
+++ b/packages/policy/src/pulley_policy/health.py
@@ -19,6 +19,8 @@
 TIMES_WORSE = 3.0
 # The others have to carry the work of those that are passed over.
 MOST_PASSED_OVER = 0.34
+# In a smaller service each endpoint is needed, also one that fails a part.
+FEWEST_ENDPOINTS = 8
 
 
 @dataclass(slots=True)
@@ -73,6 +75,8 @@
 
 def may_pass_over(n_passed_over: int, n_endpoints: int) -> bool:
     """Tell whether one more endpoint of a service can be left without work."""
+    if n_endpoints < FEWEST_ENDPOINTS:
+        return False
     return n_passed_over + 1 <= n_endpoints * MOST_PASSED_OVER
 
 
