Count a lost attempt in one place

Cause: a broken stream repeated what a failed attempt does (exclude the endpoint, count the reason, hold it off, count it as bad), so a change to one would have missed the other. Both now call outcomes.note_loss; `speaks_against` moved there.

Ruled out: building an AttemptFailed for a broken stream, as it would write a second line beside `stream_broken`.

--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -14,9 +14,9 @@
 )
 from .budgets import earn_retry, spend_retry
 from .jobs import AttemptFailed, Job
-from .loads import note_failure, note_success, state_of
+from .loads import note_success, state_of
 from .models import Kind
-from .outcomes import note_bad, note_time
+from .outcomes import note_loss, note_time
 from .placing import Target, choose_target
 from .routers import Router
 from .streams import open_stream
@@ -28,8 +28,6 @@
 RETRY_AFTER_MS = 200
 FIRST_ERROR = 300
 SERVER_ERROR = 500
-# An endpoint that is silent for this long is held off.
-TELLING_WAIT_MS = 800
 
 
 async def dispatch(router: Router, job: Job) -> Response:
@@ -129,14 +127,8 @@
 def note_attempt_failure(router: Router, job: Job, failure: AttemptFailed) -> None:
     """Remember what a failed attempt says of its endpoint and of the job."""
     name = failure.endpoint.name
-    job.excluded.add(name)
     job.may_have_run = job.may_have_run or failure.may_have_run
-    router.counters.failures[failure.reason] += 1
-    held_until_ms = None
-    if speaks_against(router, job, failure):
-        held_until_ms = note_failure(router.loads, name)
-    if held_until_ms is not None or failure.reason is Reason.ENDPOINT_BUSY:
-        note_bad(router, job, failure.endpoint)
+    held_until_ms = note_loss(router, job, failure.endpoint, failure.reason)
     if failure.reason is Reason.ENGINE_UNREACHABLE:
         state_of(router.loads, name).unreachable = True
     log_event(
@@ -153,16 +145,6 @@
     )
 
 
-def speaks_against(router: Router, job: Job, failure: AttemptFailed) -> bool:
-    """Tell whether a failure says that the endpoint itself is not well.
-
-    A full endpoint is well, and a short deadline says little.
-    """
-    if failure.reason is Reason.DEADLINE:
-        return router.clock.now_ms() - job.arrived_ms >= TELLING_WAIT_MS
-    return failure.reason not in (Reason.ENDPOINT_BUSY, Reason.WRONG_ENDPOINT)
-
-
 def refuse_retry(router: Router, job: Job, failure: AttemptFailed) -> Reason | None:
     """Say why a job is not sent again, None where it may be."""
     if job.may_have_run and not job.route.repeatable:
--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/outcomes.py
@@ -2,16 +2,47 @@
 
 import logging
 
-from pulley_base import log_event
+from pulley_base import Reason, log_event
 
 from .beliefs import usable_endpoints
 from .jobs import Job
-from .loads import note_outcome, pass_over_outlier, state_of
+from .loads import note_failure, note_outcome, pass_over_outlier, state_of
 from .models import Endpoint
 from .routers import Router
 
 logger = logging.getLogger(__name__)
 
+# An endpoint that is silent for this long is held off.
+TELLING_WAIT_MS = 800
+
+
+def note_loss(
+    router: Router, job: Job, endpoint: Endpoint, reason: Reason
+) -> int | None:
+    """Remember an attempt that brought no whole answer; the job goes elsewhere.
+
+    Gives until when the endpoint is held off, None where the reason does not
+    speak against it.
+    """
+    job.excluded.add(endpoint.name)
+    router.counters.failures[reason] += 1
+    held_until_ms = None
+    if speaks_against(router, job, reason):
+        held_until_ms = note_failure(router.loads, endpoint.name)
+    if held_until_ms is not None or reason is Reason.ENDPOINT_BUSY:
+        note_bad(router, job, endpoint)
+    return held_until_ms
+
+
+def speaks_against(router: Router, job: Job, reason: Reason) -> bool:
+    """Tell whether a failure says that the endpoint itself is not well.
+
+    A full endpoint is well, and a short deadline says little.
+    """
+    if reason is Reason.DEADLINE:
+        return router.clock.now_ms() - job.arrived_ms >= TELLING_WAIT_MS
+    return reason not in (Reason.ENDPOINT_BUSY, Reason.WRONG_ENDPOINT)
+
 
 def note_time(
     router: Router, job: Job, endpoint: Endpoint, *, failed: bool = False
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -9,8 +9,8 @@
 from .attempts import Exchange, end_exchange, read_piece
 from .events import EventBuffer, take_events
 from .jobs import AttemptFailed, Job
-from .loads import note_failure, note_success
-from .outcomes import note_bad
+from .loads import note_success
+from .outcomes import note_loss
 from .routers import Router
 
 logger = logging.getLogger(__name__)
@@ -61,10 +61,7 @@
         end_exchange(self.exchange)
         self.exchange = None
         self.job.may_have_run = True
-        self.job.excluded.add(endpoint.name)
-        note_failure(self.router.loads, endpoint.name)
-        note_bad(self.router, self.job, endpoint)
-        self.router.counters.failures[Reason.CONNECTION_LOST] += 1
+        note_loss(self.router, self.job, endpoint, Reason.CONNECTION_LOST)
         resumed = None
         if self.job.route.resumable:
             resumed = await self.resume(self.router, self.job, self.buffer.last_id)
