Remove store calls and a count that nothing uses

`StoreCalls.end_lease` was never called (a router's entry lapses with its lease) and `n_calls` was counted on every call and read nowhere. Ruled out: showing the count among the metrics, which would be a new figure and no clean-up.

Before and after: the router makes the same calls. tests/direct 45 and tests/adapter 38 scenarios pass; no test used either.

--- a/packages/direct/src/pulley_direct/store_calls.py
+++ b/packages/direct/src/pulley_direct/store_calls.py
@@ -1,7 +1,7 @@
 """What the router asks of the platform's store, whatever protocol it speaks."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from pulley_base import PulleyError, Sentinel
 
@@ -49,6 +49,4 @@
     watch: Callable[[int, int], Awaitable[Changes | Sentinel]]
     grant_lease: Callable[[int], Awaitable[LeaseGranted]]
     renew_lease: Callable[[int], Awaitable[bool]]
-    end_lease: Callable[[int], Awaitable[None]]
     announce: Callable[[str, str, int], Awaitable[None]]
-    n_calls: dict[str, int] = field(default_factory=dict)
