Double waiting times in one function

"Doubles with each failure up to a most, half of it jitter" stood four times: the backoff of retries, the hold of a fleet's member, the hold-off of an endpoint, and the wait before the store is called again. policy/retries.py now has `double_ms` and `draw_hold_ms`, and the four call them.

The caps of doublings differed (8, 16, 16) and none was reached before the most, so every wait is what it was: 50 to 500, 250 to 4,000, 250 to 30,000 and 20 to 2,000 ms. tests/direct, adapter, spreads, members and policy pass.

--- a/packages/direct/src/pulley_direct/followers.py
+++ b/packages/direct/src/pulley_direct/followers.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 from dataclasses import dataclass
 from random import random
 
 from pulley_base import Clock, PulleyError, to_seconds, warn_event
+from pulley_policy.retries import draw_hold_ms
 
 from .beliefs import Beliefs, apply_facts, note_failure, note_success, replace_facts
 from .store_calls import HISTORY_LOST, Changes, StoreCalls
@@ -140,8 +140,9 @@
     """
     note_failure(beliefs, started_ms, reason)
     progress.revision = None
+    n_before = progress.n_failures
     progress.n_failures += 1
-    return retry_delay_ms(progress.n_failures, random)
+    return draw_hold_ms(RETRY_FIRST_MS, RETRY_MOST_MS, n_before, random)
 
 
 def version_of(beliefs: Beliefs) -> int | None:
@@ -154,9 +155,3 @@
     """Note the end of an outage before the changes that it caused are read."""
     if beliefs.failing_since_ms is not None:
         note_success(beliefs, beliefs.confirmed_ms or beliefs.failing_since_ms)
-
-
-def retry_delay_ms(n_failures: int, draw: Callable[[], float]) -> float:
-    """Give the wait before the next call: exponential, with jitter of a half."""
-    most_ms = min(RETRY_MOST_MS, RETRY_FIRST_MS << min(n_failures - 1, 8))
-    return most_ms * (0.5 + draw() / 2)
--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -11,6 +11,7 @@
     may_pass_over,
     note_outcomes,
 )
+from pulley_policy.retries import double_ms
 
 from .models import ReportedLoad
 
@@ -87,7 +88,7 @@
 def note_failure(table: LoadTable, name: str) -> int:
     """Hold an endpoint off, longer with each failure in a row; gives until when."""
     state = state_of(table, name)
-    hold_ms = min(HOLD_OFF_MOST_MS, HOLD_OFF_FIRST_MS << min(state.n_failures, 8))
+    hold_ms = double_ms(HOLD_OFF_FIRST_MS, HOLD_OFF_MOST_MS, state.n_failures)
     state.n_failures += 1
     state.held_until_ms = table.clock.deadline_ms(hold_ms)
     return state.held_until_ms
--- a/packages/policy/src/pulley_policy/members.py
+++ b/packages/policy/src/pulley_policy/members.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from .placement import Candidate
+from .retries import draw_hold_ms
 
 HOLD_BASE_MS = 250
 HOLD_MAX_MS = 30_000
@@ -147,9 +148,8 @@
         if is_steady(member, now_ms):
             member.n_failures = 0
         member.steady_since_ms = None
-        full_ms = min(HOLD_MAX_MS, HOLD_BASE_MS << member.n_failures)
+        hold_ms = int(draw_hold_ms(HOLD_BASE_MS, HOLD_MAX_MS, member.n_failures, draw))
         member.n_failures = min(MAX_FAILURES, member.n_failures + 1)
-        hold_ms = int(full_ms * (0.5 + draw() / 2))
         member.held_until_ms = now_ms + hold_ms
         self.version += 1
         return hold_ms
--- a/packages/policy/src/pulley_policy/retries.py
+++ b/packages/policy/src/pulley_policy/retries.py
@@ -6,6 +6,8 @@
 BASE_BACKOFF_MS = 20
 MAX_BACKOFF_MS = 2_000
 MAX_ATTEMPTS = 6
+# More doublings than any time here takes to reach its most.
+MAX_DOUBLINGS = 16
 BUDGET_RATIO = 0.2
 BUDGET_MAX = 20.0
 
@@ -68,5 +70,24 @@
     ``n_attempts`` counts the attempts made; ``draw`` gives numbers in
     ``[0, 1)``.
     """
-    ceiling_ms = min(MAX_BACKOFF_MS, BASE_BACKOFF_MS << min(n_attempts, 16))
-    return int(draw() * ceiling_ms)
+    return int(draw() * double_ms(BASE_BACKOFF_MS, MAX_BACKOFF_MS, n_attempts))
+
+
+def double_ms(first_ms: int, most_ms: int, n_failures: int) -> int:
+    """Give a time that doubles with each failure, up to ``most_ms``.
+
+    >>> [double_ms(50, 500, n) for n in (0, 1, 3, 4, 1_000)]
+    [50, 100, 400, 500, 500]
+    """
+    return min(most_ms, first_ms << min(n_failures, MAX_DOUBLINGS))
+
+
+def draw_hold_ms(
+    first_ms: int, most_ms: int, n_failures: int, draw: Callable[[], float]
+) -> float:
+    """Give a doubling time, half of it jitter.
+
+    >>> draw_hold_ms(50, 500, 1, lambda: 0.5)
+    75.0
+    """
+    return double_ms(first_ms, most_ms, n_failures) * (0.5 + draw() / 2)
