Share what starts routers beside the stand-ins

Free address, settings text and "ask /readyz until it says 200" stood in the demo, the soak and the adapter's tests. processes.py of the stand-ins holds them once.

Ruled out: one settings text for the adapter's tests too, as they vary its ports and bounds.

--- a/tests/adapter/steps/adapter.py
+++ b/tests/adapter/steps/adapter.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -14,6 +13,7 @@
 
 from behave import then, when
 from pulley_platform_standins.endpoints import list_endpoint, start_endpoint
+from pulley_platform_standins.processes import free_address, wait_ready
 from pulley_platform_standins.stores import (
     Mood,
     end_leases,
@@ -31,8 +31,6 @@
 from pulley_http import Client, Request, close_client, fetch
 
 ROOT = Path(__file__).resolve().parents[3]
-START_LOOKS = 200
-LOOK_S = 0.05
 EXIT_S = 15
 # Long enough for the next line of a program, and short against its imports.
 EARLY_S = 0.005
@@ -138,8 +136,8 @@
 ip = "127.0.0.1"
 portRange = [{low}, {high}]
 [listen]
-front = "127.0.0.1:{front}"
-readyAddr = "127.0.0.1:{ready}"
+front = "{front}"
+readyAddr = "{ready}"
 [platform]
 address = "{store}"
 [bounds]
@@ -237,7 +235,11 @@
 @when("settings with {fault} are checked")
 def play_settings_with_are_checked(context, fault):
     text = SETTINGS.format(
-        low=7_000, high=7_015, front=8_000, ready=8_001, store="127.0.0.1:9"
+        low=7_000,
+        high=7_015,
+        front="127.0.0.1:8000",
+        ready="127.0.0.1:8001",
+        store="127.0.0.1:9",
     )
     changes = {
         "no store": ("[platform]", "[elsewhere]"),
@@ -331,12 +333,6 @@
     assert len(before) == 1 and not after and not renewed, context.entries
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 @when("the program is built and started with a settings file and told to stop")
 def play_program_built_started_with_settings(context):
     subprocess.run(["sh", "deploy/build"], cwd=ROOT, check=True, capture_output=True)
@@ -349,7 +345,7 @@
     shop = await start_endpoint("shop-0", "shop")
     list_endpoint(store, shop)
     put_item(store, "op/config", json.dumps(CONFIGURATION).encode())
-    front, ready = free_port(), free_port()
+    front, ready = free_address(), free_address()
     path.write_text(
         SETTINGS.format(
             low=7_000, high=7_015, front=front, ready=ready, store=store.address
@@ -368,29 +364,15 @@
         stderr=subprocess.PIPE,
     )
     client = Client()
-    was_ready = await wait_ready(client, f"127.0.0.1:{ready}")
+    was_ready = await wait_ready(client, ready)
     headers = [(b"host", b"one.example"), (b"attempt-id", b"request-9")]
-    answer = await fetch(
-        client, f"127.0.0.1:{front}", "POST", "/order/x", headers=headers, body=b"{}"
-    )
+    answer = await fetch(client, front, "POST", "/order/x", headers=headers, body=b"{}")
     process.send_signal(signal.SIGTERM)
     out, err = await asyncio.wait_for(process.communicate(), EXIT_S)
     close_client(client)
     return was_ready, answer, process.returncode, out.decode(), err.decode()
 
 
-async def wait_ready(client, address):
-    for _ in range(START_LOOKS):
-        try:
-            answer = await fetch(client, address, "GET", "/readyz")
-            if answer.status == 200:
-                return True
-        except PulleyError:
-            pass
-        await asyncio.sleep(LOOK_S)
-    return False
-
-
 @then("it was ready, answered a request and exited with 0")
 def check_was_ready_answered_request_exited(context):
     was_ready, answer, status, _out, err = context.result
@@ -412,7 +394,11 @@
     async def play(path):
         store = await start_store()
         text = SETTINGS.format(
-            low=1, high=2, front=free_port(), ready=free_port(), store=store.address
+            low=1,
+            high=2,
+            front=free_address(),
+            ready=free_address(),
+            store=store.address,
         )
         path.write_text(text)
         process = run_program(path)
@@ -446,10 +432,10 @@
     async def play(path):
         store = await start_store()
         put_item(store, "op/config", json.dumps(CONFIGURATION).encode())
-        ready = free_port()
+        ready = free_address()
         path.write_text(
             SETTINGS.format(
-                low=1, high=2, front=free_port(), ready=ready, store=store.address
+                low=1, high=2, front=free_address(), ready=ready, store=store.address
             )
         )
         process = run_program(path)
@@ -457,7 +443,7 @@
             await asyncio.sleep(0.001)
         process.send_signal(signal.SIGHUP)
         client = Client()
-        was_ready = await wait_ready(client, f"127.0.0.1:{ready}")
+        was_ready = await wait_ready(client, ready)
         close_client(client)
         process.kill()
         process.communicate()
@@ -478,7 +464,11 @@
         path = Path(folder) / "local.toml"
         path.write_text(
             SETTINGS.format(
-                low=1, high=2, front=free_port(), ready=free_port(), store="127.0.0.1:9"
+                low=1,
+                high=2,
+                front=free_address(),
+                ready=free_address(),
+                store="127.0.0.1:9",
             )
         )
         process = run_program(path)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,15 +22,17 @@
 sys.path[:0] = [str(ROOT / "tests" / "soak"), str(ROOT / "tests" / "direct" / "steps")]
 
 from faults import FAULTS  # noqa: E402
-from pulley_platform_standins.demo import (  # noqa: E402
-    SETTINGS as DEMO_SETTINGS,
-)
-from pulley_platform_standins.demo import free_address  # noqa: E402
 from pulley_platform_standins.endpoints import (  # noqa: E402
     StandInEndpoint,
     list_endpoint,
     start_endpoint,
 )
+from pulley_platform_standins.processes import (  # noqa: E402
+    READY_MS,
+    ROUTER_SETTINGS,
+    free_address,
+    wait_ready,
+)
 from pulley_platform_standins.stores import (  # noqa: E402
     Mood,
     StandInStore,
@@ -39,8 +41,8 @@
 )
 from scenes import CHAT, LOOKUP, ONCE, ORDER, configuration, send_call  # noqa: E402
 
-from pulley_base import Clock, PulleyError  # noqa: E402
-from pulley_http import Client, close_client, fetch  # noqa: E402
+from pulley_base import Clock  # noqa: E402
+from pulley_http import Client, close_client  # noqa: E402
 from pulley_standins.relays import Relay, drop_open, open_relay, relay_address  # noqa: E402
 
 N_EVENTS = 6
@@ -52,7 +54,7 @@
 CLOSE_S = 0.1
 PATIENCE_MS = 4_000
 SETTINGS = (
-    DEMO_SETTINGS
+    ROUTER_SETTINGS
     + """
 [bounds]
 graceS = {grace}
@@ -213,20 +215,13 @@
     await start_process(slot)
 
 
-async def wait_ready(fleet: Fleet) -> None:
+async def wait_all_ready(fleet: Fleet) -> None:
     """Wait until every router says that it is ready."""
     client = Client()
-    deadline_ms = fleet.clock.deadline_ms(10_000)
+    deadline_ms = fleet.clock.deadline_ms(READY_MS)
     for slot in fleet.slots:
-        while fleet.clock.now_ms() < deadline_ms:
-            try:
-                answer = await fetch(client, slot.ready, "GET", "/readyz")
-                if answer.status == 200:
-                    break
-            except PulleyError:
-                pass
-            await asyncio.sleep(0.05)
-        else:
+        left_ms = deadline_ms - fleet.clock.now_ms()
+        if not await wait_ready(client, slot.ready, left_ms):
             fleet.broken.append(f"{slot.name} is not ready 10 s after all faults")
     close_client(client)
 
@@ -274,14 +269,14 @@
     fleet = await open_fleet(folder, size)
     callers = []
     try:
-        await wait_ready(fleet)
+        await wait_all_ready(fleet)
         callers = [
             asyncio.create_task(run_caller(fleet, number, Random(f"{seed}-{number}")))
             for number in range(size.callers)
         ]
         await inject_faults(fleet, seconds, Random(seed))
         await asyncio.sleep(HEAL_S)
-        await wait_ready(fleet)
+        await wait_all_ready(fleet)
         fleet.calm = True
         await asyncio.sleep(CALM_S)
     finally:
