--- /dev/null
+++ b/tools/choices.py
@@ -0,0 +1,79 @@
+"""What a router's choice of an endpoint costs at the size designed for.
+
+``python tools/choices.py`` prints the time of one choice for a prompt of three
+parts, and of counting one bad outcome, at a tenth of that size and at all of it.
+"""
+
+import logging
+import time
+from collections.abc import Callable
+from types import SimpleNamespace
+
+from pulley_base import Clock
+from pulley_direct.beliefs import Beliefs, list_endpoint
+from pulley_direct.loads import LoadTable, note_outcome, pass_over_outlier
+from pulley_direct.models import Bounds, Endpoint, Part
+from pulley_direct.placing import choose_target
+
+SIZES = (1_200, 12_000)
+N_SERVICES = 11
+N_REPEATS = 50
+SERVICE = "service-3"
+PARTS = (Part("shared", 1_000), Part("subject", 200), Part("own", 50))
+
+
+def make_router(n_endpoints: int) -> SimpleNamespace:
+    """Give what a choice reads, with endpoints spread over the services."""
+    clock = Clock()
+    beliefs = Beliefs(clock)
+    for number in range(n_endpoints):
+        service = f"service-{number % N_SERVICES}"
+        address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:80"
+        list_endpoint(beliefs, Endpoint(f"endpoint-{number}", service, address, 8))
+    settings = SimpleNamespace(bounds=Bounds())
+    return SimpleNamespace(beliefs=beliefs, loads=LoadTable(clock), settings=settings)
+
+
+def time_ms(work: Callable[[], object]) -> float:
+    """Give the mean time of some work in ms."""
+    started_s = time.perf_counter()
+    for _ in range(N_REPEATS):
+        work()
+    return (time.perf_counter() - started_s) * 1_000 / N_REPEATS
+
+
+def time_choice(router: SimpleNamespace) -> float:
+    """Give the time of one choice in ms."""
+    call = SimpleNamespace(parts=PARTS)
+    job = SimpleNamespace(service=SERVICE, excluded=set(), call=call)
+    return time_ms(lambda: choose_target(router, job))
+
+
+def time_bad_outcome(router: SimpleNamespace) -> float:
+    """Give the time of counting one bad outcome of an outlier in ms."""
+    endpoints = router.beliefs.endpoints.values()
+    names = [one.name for one in endpoints if one.service == SERVICE]
+    for name in names:
+        note_outcome(router.loads, name, SERVICE, good=True)
+
+    def count_bad() -> None:
+        note_outcome(router.loads, names[0], SERVICE, good=False)
+        pass_over_outlier(router.loads, names[0], SERVICE, names)
+
+    return time_ms(count_bad)
+
+
+def main() -> None:
+    """Print one line for each size."""
+    logging.disable(logging.CRITICAL)
+    for n_endpoints in SIZES:
+        router = make_router(n_endpoints)
+        choice_ms, bad_ms = time_choice(router), time_bad_outcome(router)
+        print(
+            f"{n_endpoints} endpoints of {N_SERVICES} services: "
+            f"{choice_ms:.2f} ms a choice, {bad_ms:.3f} ms a bad outcome"
+        )
+
+
+if __name__ == "__main__":
+    main()
