Log the shared parts of a lost attempt and whether its answer had begun

Cause: with the log as it was, a prompt part that crashes endpoints can't be told from a request that only waited at an endpoint as it went down: the line named neither the parts nor, but for a word in its detail, how far the answer had got.

Change: attempt_failed bears answer_began and, where the request may have run, the digests of the prompt's shared parts, at most eight of sixteen characters. No logic changes.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -295,7 +295,7 @@
                 raise ConnectionLost("the answer is too large", step="body")
     except PulleyError as error:
         raise AttemptFailed(
-            Reason.CONNECTION_LOST, str(error), exchange.endpoint
+            Reason.CONNECTION_LOST, str(error), exchange.endpoint, answer_began=True
         ) from error
     return b"".join(chunks)
 
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -15,7 +15,7 @@
 from .budgets import earn_retry, spend_retry
 from .jobs import AttemptFailed, Job
 from .loads import get_state, record_success
-from .models import RetryClass
+from .models import Call, RetryClass
 from .outcomes import record_answer_time, record_failed_attempt
 from .placing import Target, choose_target
 from .routers import Router
@@ -28,6 +28,9 @@
 RETRY_AFTER_MS = 200
 FIRST_NON_SUCCESS_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
+MAX_LOGGED_PARTS = 8
+# Characters of a part's digest in a log line.
+MAX_LOGGED_DIGEST = 16
 
 
 async def dispatch(router: Router, job: Job) -> Response:
@@ -165,12 +168,24 @@
         reason=failure.reason,
         detail=failure.args[0],
         may_have_run=failure.may_have_run,
+        answer_began=failure.answer_began,
+        parts=list_shared_parts(job.call) if failure.may_have_run else None,
         held_until_ms=backoff_until_ms,
         n_sent=len(job.sent_to),
         left_ms=job.deadline_ms - router.clock.now_ms(),
     )
 
 
+def list_shared_parts(call: Call) -> str | None:
+    """Return the digests of a prompt's shared parts for the log, None without any.
+
+    All parts but the last may be shared; of a long prompt only the first ones are
+    listed.
+    """
+    shared = call.parts[:-1][:MAX_LOGGED_PARTS]
+    return ",".join(part.digest[:MAX_LOGGED_DIGEST] for part in shared) or None
+
+
 def retry_denial_reason(
     router: Router, job: Job, failure: AttemptFailed
 ) -> Reason | None:
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -55,7 +55,7 @@
 
     ``reached`` is False if nothing was written to the endpoint; ``may_have_run``
     is False only if the endpoint reported that it did not run the request, or was
-    not reached.
+    not reached. ``answer_began`` says whether the head of its answer had arrived.
     """
 
     def __init__(
@@ -66,9 +66,11 @@
         *,
         reached: bool = True,
         may_have_run: bool = True,
+        answer_began: bool = False,
     ):
         super().__init__(detail, step=str(reason), peer=endpoint.address)
         self.reason = reason
         self.endpoint = endpoint
         self.reached = reached
         self.may_have_run = may_have_run
+        self.answer_began = answer_began
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -112,7 +112,10 @@
             chunk = await read_chunk(exchange, job)
         except PulleyError as error:
             raise AttemptFailed(
-                Reason.CONNECTION_LOST, str(error), exchange.endpoint
+                Reason.CONNECTION_LOST,
+                str(error),
+                exchange.endpoint,
+                answer_began=True,
             ) from error
         stream.first_events = take_events(stream.buffer, chunk or b"")
     job.streaming = True
