Refuse prompts with a part that crashes endpoints, at every router

Cause: a router remembered nothing of a request that was lost in a crash, neither for the next one nor for other routers. Each new prompt with the part went to the next endpoint in rank, was resent once, and took two endpoints down.

A key's depth in a report is one more than its score when the request was sent. So a simultaneous loss counts once at whatever time the reports arrive, without a clock that routers share. A key is quarantined at a score of three, one with a good answer in the last minute at six; of the keys of one request only the narrowest is blamed. An answer that goes on past its first events clears the keys of its request of the crashes known when it was sent, at all routers. A quarantined request is refused at once as not run (502 if it may have run); a request that one more crash would quarantine isn't resent. The evidence holds for five minutes and is bounded.

Why it works: sound parts are answered all the time and so are cleared, a deadly one never is. The chain of reports needs no more than the watch's delay of half a second a link.

The scenario "Prompts with a crashing part come at every router" fails on the code before with "27 of 32 reached an endpoint"; "The store is away meanwhile" fails as no report is ever written.

--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -6,6 +6,7 @@
 import json
 
 from pulley_http import Request, Response
+from pulley_policy.crashes import list_quarantined
 
 from .beliefs import configuration_age_ms
 from .counters import render_metrics
@@ -49,9 +50,19 @@
         or 0,
         "plantainpulley_direct_open_channels": router.pool.n_open.total(),
         "plantainpulley_direct_opened_channels": router.pool.n_opened,
+        "plantainpulley_direct_crash_reports": len(
+            fleet_view.crash_log.evidence.reports
+        ),
+        "plantainpulley_direct_quarantined_keys": len(quarantined_keys(router)),
     }
 
 
+def quarantined_keys(router: Router) -> list[str]:
+    """Return the keys whose requests are refused because they crash endpoints."""
+    evidence = router.fleet_view.crash_log.evidence
+    return list_quarantined(evidence, router.clock.now_ms())
+
+
 def describe_router(router: Router) -> dict:
     """Return the content of the status page; ages are in ms."""
     fleet_view = router.fleet_view
@@ -70,6 +81,7 @@
         "retries_left": {
             service: round(budget.left, 1) for service, budget in router.budgets.items()
         },
+        "quarantined": quarantined_keys(router),
         "endpoints": [
             describe_endpoint(router, name, now_ms) for name in fleet_view.endpoints
         ],
--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -19,6 +19,7 @@
 from .announcements import announce
 from .beliefs import FleetView
 from .channels import ChannelPool, close_unusable_idle
+from .crash_reports import publish_reports
 from .followers import follow_store
 from .front import handle_request
 from .loads import LoadTable, remove_unlisted
@@ -109,6 +110,7 @@
     tasks = [
         asyncio.create_task(follow_store(store, fleet_view, clock, in_force_ms)),
         asyncio.create_task(announce(store, router)),
+        asyncio.create_task(publish_reports(store, router)),
         asyncio.create_task(run_housekeeping(router, caller_server)),
     ]
     return RunningRouter(router, caller_server, ready_server, admin_server, tasks)
--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -7,8 +7,10 @@
 from pulley_base import Clock, log_event, wall_time_ms
 from pulley_policy.homes import Place
 
+from .crash_log import CrashLog, apply_reports
 from .models import (
     Configuration,
+    CrashReports,
     Endpoint,
     EndpointRemoved,
     RouterEntry,
@@ -48,7 +50,8 @@
     have held nothing newer, None before the first answer. ``lapsed`` holds the
     endpoints whose entries were missing after an outage of the store, with the
     clock reading at which they count as removed. ``departed`` holds those that
-    left recently. ``failing_since_ms`` is set while the store does not answer,
+    left recently. ``crash_log`` holds what is known of requests that crash endpoints.
+    ``failing_since_ms`` is set while the store does not answer,
     ``outage_end_ms`` after its last outage. ``wall_clock`` reads the time of day
     and is used only to tell how long ago an endpoint started.
     """
@@ -61,6 +64,7 @@
     routers: dict[str, str] = field(default_factory=dict)
     lapsed: dict[str, int] = field(default_factory=dict)
     departed: dict[str, Departure] = field(default_factory=dict)
+    crash_log: CrashLog = field(default_factory=CrashLog)
     failing_since_ms: int | None = None
     outage_end_ms: int | None = None
     changed: Signal = field(default_factory=Signal)
@@ -127,6 +131,8 @@
         fleet_view.routers[entry.name] = entry.address
     elif isinstance(entry, RouterRemoved):
         fleet_view.routers.pop(entry.name, None)
+    elif isinstance(entry, CrashReports):
+        apply_reports(fleet_view.crash_log, entry, fleet_view.clock.now_ms())
 
 
 def install_configuration(fleet_view: FleetView, candidate: Configuration) -> None:
--- /dev/null
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -0,0 +1,127 @@
+"""What a router knows of crashes, from its own lost requests and from other routers."""
+
+import logging
+from dataclasses import dataclass, field
+
+from pulley_base import log_event, warn_event
+from pulley_policy.crashes import (
+    Clearance,
+    Evidence,
+    LostRequest,
+    add_clearance,
+    add_report,
+    is_quarantined,
+    score_key,
+)
+
+from .models import CrashReports
+from .signals import Signal
+
+logger = logging.getLogger(__name__)
+
+# The newest of a router's own reports and clearances are shared, in one entry.
+MAX_OWN_REPORTS = 64
+MAX_OWN_CLEARANCES = 64
+# A key that reaches this score may soon be quarantined, so other routers are told of
+# its clearance.
+SHARED_CLEARANCE_SCORE = 2
+OWN = "own"
+
+
+@dataclass(slots=True)
+class CrashLog:
+    """The evidence of crashes, and this router's own part of it.
+
+    ``own_lost`` and ``own_cleared`` are to be written to the store when ``changed``
+    is notified, ``pending`` until they are written. ``quarantined`` holds the keys
+    whose quarantine was logged.
+    """
+
+    evidence: Evidence = field(default_factory=Evidence)
+    own_lost: list[LostRequest] = field(default_factory=list)
+    own_cleared: list[Clearance] = field(default_factory=list)
+    pending: bool = False
+    changed: Signal = field(default_factory=Signal)
+    quarantined: set[str] = field(default_factory=set)
+
+
+def record_own_loss(crash_log: CrashLog, lost: LostRequest, now_ms: int) -> None:
+    """Record a request that this router lost in a crash, to be shared."""
+    if learn_of_loss(crash_log, OWN, lost, now_ms):
+        crash_log.own_lost.append(lost)
+        del crash_log.own_lost[:-MAX_OWN_REPORTS]
+        share(crash_log)
+
+
+def record_own_clearance(
+    crash_log: CrashLog, clearance: Clearance, score: int, now_ms: int
+) -> None:
+    """Log a key that this router cleared, and share it if its ``score`` was high."""
+    if score < SHARED_CLEARANCE_SCORE:
+        return
+    log_clearance(crash_log, OWN, clearance, now_ms)
+    crash_log.own_cleared.append(clearance)
+    del crash_log.own_cleared[:-MAX_OWN_CLEARANCES]
+    share(crash_log)
+
+
+def share(crash_log: CrashLog) -> None:
+    """Request that this router's own evidence be written to the store."""
+    crash_log.pending = True
+    crash_log.changed.notify()
+
+
+def apply_reports(crash_log: CrashLog, entry: CrashReports, now_ms: int) -> None:
+    """Add what another router reported; known reports change nothing."""
+    for lost in entry.lost:
+        learn_of_loss(crash_log, entry.reporter, lost, now_ms)
+    for clearance in entry.cleared:
+        if add_clearance(crash_log.evidence, clearance):
+            log_clearance(crash_log, entry.reporter, clearance, now_ms)
+
+
+def learn_of_loss(
+    crash_log: CrashLog, reporter: str, lost: LostRequest, now_ms: int
+) -> bool:
+    """Add and log one report; return False if it was known."""
+    evidence = crash_log.evidence
+    if not add_report(evidence, lost, now_ms):
+        return False
+    keys = [suspect.key for suspect in lost.suspects]
+    warn_event(
+        logger,
+        "crash_reported",
+        crash=lost.crash,
+        reporter=reporter,
+        keys=",".join(keys),
+        scores=",".join(str(score_key(evidence, key)) for key in keys),
+    )
+    log_quarantines(crash_log, now_ms)
+    return True
+
+
+def log_quarantines(crash_log: CrashLog, now_ms: int) -> None:
+    """Log the keys that came under quarantine, and those that left it."""
+    evidence = crash_log.evidence
+    quarantined = {
+        key for key in evidence.depths if is_quarantined(evidence, key, now_ms)
+    }
+    for key in sorted(quarantined - crash_log.quarantined):
+        warn_event(logger, "key_quarantined", key=key, score=score_key(evidence, key))
+    for key in sorted(crash_log.quarantined - quarantined):
+        log_event(logger, "key_released", key=key)
+    crash_log.quarantined = quarantined
+
+
+def log_clearance(
+    crash_log: CrashLog, reporter: str, clearance: Clearance, now_ms: int
+) -> None:
+    """Log that a key had a good answer after crashes."""
+    log_event(
+        logger,
+        "key_cleared",
+        key=clearance.key,
+        reporter=reporter,
+        crashes=",".join(clearance.crashes),
+    )
+    log_quarantines(crash_log, now_ms)
--- /dev/null
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -0,0 +1,124 @@
+"""Requests that crash endpoints: recorded when they are lost, refused from then on."""
+
+from hashlib import blake2b
+
+from pulley_base import Reason
+from pulley_policy.crashes import (
+    Scores,
+    blame,
+    find_quarantined,
+    may_resend,
+    quarantine_left_ms,
+    record_good,
+    score_request,
+)
+
+from .crash_log import record_own_clearance, record_own_loss
+from .jobs import AttemptFailed, Job
+from .models import Endpoint
+from .routers import Router
+
+# Longer digests and longer prompts are truncated.
+MAX_DIGEST_LENGTH = 64
+MAX_KEY_PARTS = 32
+REQUEST_DIGEST_BYTES = 12
+# A caller is not kept away for longer, as a probe or a repair may end a quarantine.
+MAX_RETRY_AFTER_MS = 60_000
+
+
+def part_keys(job: Job) -> list[str]:
+    """Return the keys of a prompt's shared parts, which are all but the last one."""
+    shared = job.call.parts[:-1][:MAX_KEY_PARTS]
+    return [f"{job.service}/part/{one.digest[:MAX_DIGEST_LENGTH]}" for one in shared]
+
+
+def request_key(job: Job) -> str:
+    """Return the key of a whole request, the same each time that it is repeated."""
+    team = "" if job.team is None else job.team.name
+    parts = ",".join(part.digest for part in job.call.parts)
+    digest = blake2b(digest_size=REQUEST_DIGEST_BYTES)
+    for text in (team, job.call.method, job.call.host, job.call.target, parts):
+        digest.update(text.encode("utf-8", "surrogateescape") + b"\0")
+    digest.update(job.body)
+    return f"{job.service}/request/{digest.hexdigest()}"
+
+
+def find_quarantine(router: Router, job: Job) -> str | None:
+    """Return the key for which a job's request is quarantined, None if it may be sent.
+
+    Keeps the scores of the request's keys as of now, for the attempt that follows.
+    """
+    evidence = router.fleet_view.crash_log.evidence
+    keys = part_keys(job)
+    if evidence.depths:
+        keys.append(request_key(job))
+        quarantined = find_quarantined(evidence, keys, router.clock.now_ms())
+        if quarantined is not None:
+            return quarantined
+    job.scores = score_request(evidence, keys)
+    return None
+
+
+def retry_after_quarantine_ms(router: Router, key: str) -> int:
+    """Return when a quarantined request may be sent again at the earliest, in ms."""
+    evidence = router.fleet_view.crash_log.evidence
+    left_ms = quarantine_left_ms(evidence, key, router.clock.now_ms())
+    return min(MAX_RETRY_AFTER_MS, left_ms)
+
+
+def record_loss(router: Router, job: Job, failure: AttemptFailed) -> None:
+    """Report a prompt that was lost as its answer began, to be held against its keys.
+
+    Other requests that an endpoint held as it crashed had no answer yet, or events.
+    """
+    if not is_crash_loss(job, failure):
+        return
+    scores = with_request_key(job)
+    lost = blame(crash_id(failure.endpoint), scores)
+    crash_log = router.fleet_view.crash_log
+    record_own_loss(crash_log, lost, router.clock.now_ms())
+
+
+def is_crash_loss(job: Job, failure: AttemptFailed) -> bool:
+    """Check whether a connection ended after an answer's head and before any event."""
+    lost = failure.reason is Reason.CONNECTION_LOST and failure.answer_began
+    return lost and bool(job.call.parts) and job.scores is not None
+
+
+def with_request_key(job: Job) -> Scores:
+    """Return the scores of a job's last attempt, with its whole request as last key.
+
+    The router does not compute that key while it knows of no crash.
+    """
+    scores = job.scores
+    key = request_key(job)
+    if key in scores.keys:
+        return scores
+    return Scores((*scores.keys, key), (*scores.scores, 0), (*scores.crashes, ()))
+
+
+def crash_id(endpoint: Endpoint) -> str:
+    """Return the id of an endpoint's crash: its incarnation has only one."""
+    return f"{endpoint.name}/{endpoint.started_ms}"
+
+
+def may_resend_lost(router: Router, job: Job, failure: AttemptFailed) -> bool:
+    """Check whether a request that may have crashed an endpoint may go to another."""
+    if not is_crash_loss(job, failure):
+        return True
+    evidence = router.fleet_view.crash_log.evidence
+    return may_resend(evidence, job.scores.keys, router.clock.now_ms())
+
+
+def record_good_answer(router: Router, job: Job) -> None:
+    """Clear a request's keys: its answer is whole, or goes on past its first events."""
+    scores = job.scores
+    if scores is None:
+        return
+    job.scores = None
+    now_ms = router.clock.now_ms()
+    crash_log = router.fleet_view.crash_log
+    score_by_key = dict(zip(scores.keys, scores.scores, strict=True))
+    for clearance in record_good(crash_log.evidence, scores, now_ms):
+        score = score_by_key[clearance.key]
+        record_own_clearance(crash_log, clearance, score, now_ms)
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -13,6 +13,13 @@
     start_exchange,
 )
 from .budgets import earn_retry, spend_retry
+from .crashes import (
+    find_quarantine,
+    may_resend_lost,
+    record_good_answer,
+    record_loss,
+    retry_after_quarantine_ms,
+)
 from .jobs import AttemptFailed, Job
 from .loads import get_state, record_success
 from .models import Call, RetryClass
@@ -40,6 +47,15 @@
     """
     earn_retry(router, job.service)
     while True:
+        quarantined = find_quarantine(router, job)
+        if quarantined is not None:
+            return fall_back_or_refuse(
+                router,
+                job,
+                Reason.QUARANTINED,
+                f"requests with {quarantined} crashed endpoints",
+                retry_after_ms=retry_after_quarantine_ms(router, quarantined),
+            )
         target = choose_target(router, job)
         if target is None:
             return fall_back_or_refuse(
@@ -81,6 +97,8 @@
         raise
     end_exchange(exchange)
     record_success(router.loads, endpoint.name)
+    if exchange.status < FIRST_SERVER_ERROR_STATUS:
+        record_good_answer(router, job)
     record_answer_time(
         router, job, endpoint, failed=exchange.status >= FIRST_SERVER_ERROR_STATUS
     )
@@ -122,6 +140,8 @@
     Returns None if no attempt, retry or endpoint is left.
     """
     while has_attempts_left(job) and spend_retry(router, job, Reason.CONNECTION_LOST):
+        if find_quarantine(router, job) is not None:
+            return None
         target = choose_target(router, job)
         if target is None:
             return None
@@ -155,6 +175,7 @@
     """Record a failed attempt for its endpoint and its job, and log it."""
     name = failure.endpoint.name
     job.may_have_run = job.may_have_run or failure.may_have_run
+    record_loss(router, job, failure)
     backoff_until_ms = record_failed_attempt(
         router, job, failure.endpoint, failure.reason
     )
@@ -199,6 +220,8 @@
         return Reason.DEADLINE
     if not failure.reached:
         return None
+    if not may_resend_lost(router, job, failure):
+        return Reason.ENGINE_CRASHED
     if not has_attempts_left(job):
         return failure.reason
     if not spend_retry(router, job, failure.reason):
@@ -225,7 +248,12 @@
 
 
 def fall_back_or_refuse(
-    router: Router, job: Job, reason: Reason, detail: str
+    router: Router,
+    job: Job,
+    reason: Reason,
+    detail: str,
+    *,
+    retry_after_ms: int = RETRY_AFTER_MS,
 ) -> Response:
     """Return an endpoint's own error answer, or raise RequestRefused if there is none.
 
@@ -238,4 +266,4 @@
     if job.may_have_run:
         status = 504 if past_deadline else 502
         raise RequestRefused(status, reason, detail, outcome=Outcome.UNKNOWN)
-    raise RequestRefused(503, reason, detail, retry_after_ms=RETRY_AFTER_MS)
+    raise RequestRefused(503, reason, detail, retry_after_ms=retry_after_ms)
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -4,6 +4,7 @@
 
 from pulley_base import PulleyError, Reason
 from pulley_http import Response
+from pulley_policy.crashes import Scores
 
 from .models import Call, Endpoint, Route, Team
 
@@ -21,7 +22,8 @@
     budget, ``streaming`` that the router has begun a streamed answer.
     ``last_bad_endpoint`` is the endpoint for which an attempt was last counted as
     bad, ``fallback_response`` an endpoint's error answer that is returned if no
-    other attempt succeeds.
+    other attempt succeeds. ``scores`` are those of the request's keys when it was last
+    sent, None once it had a good answer.
     """
 
     call: Call
@@ -40,6 +42,7 @@
     sent_ms: int = 0
     last_bad_endpoint: str | None = None
     fallback_response: Response | None = None
+    scores: Scores | None = None
 
     @property
     def may_retry(self) -> bool:
--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from pulley_http import Headers, Limits, Request
+from pulley_policy.crashes import Clearance, LostRequest
 
 
 class RetryClass(StrEnum):
@@ -123,7 +124,26 @@
     name: str
 
 
-StoreEntry = Configuration | Endpoint | EndpointRemoved | RouterEntry | RouterRemoved
+@dataclass(frozen=True, slots=True)
+class CrashReports:
+    """The requests that one router lost in crashes, and the keys that it cleared.
+
+    ``reporter`` names one process of a router.
+    """
+
+    reporter: str
+    lost: tuple[LostRequest, ...]
+    cleared: tuple[Clearance, ...]
+
+
+StoreEntry = (
+    Configuration
+    | Endpoint
+    | EndpointRemoved
+    | RouterEntry
+    | RouterRemoved
+    | CrashReports
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/direct/src/pulley_direct/store_calls.py
+++ b/packages/direct/src/pulley_direct/store_calls.py
@@ -5,7 +5,7 @@
 
 from pulley_base import PulleyError, Sentinel
 
-from .models import StoreEntry
+from .models import CrashReports, StoreEntry
 
 HISTORY_LOST = Sentinel("history_lost", "the store no longer has these changes")
 
@@ -52,7 +52,7 @@
     the store has dropped the changes since then.
     ``grant_lease`` takes the time to live in ms. ``renew_lease`` returns False if
     the lease has expired. ``announce`` takes the router's name, its address and a
-    lease.
+    lease, ``report_crashes`` a router's reports and a lease.
     """
 
     read_all: Callable[[], Awaitable[Changes]]
@@ -60,3 +60,4 @@
     grant_lease: Callable[[int], Awaitable[LeaseGranted]]
     renew_lease: Callable[[int], Awaitable[bool]]
     announce: Callable[[str, str, int], Awaitable[None]]
+    report_crashes: Callable[[CrashReports, int], Awaitable[None]]
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -7,6 +7,7 @@
 from pulley_http import Response, drop_hop_by_hop_headers
 
 from .attempts import Exchange, end_exchange, read_chunk
+from .crashes import record_good_answer
 from .events import EventBuffer, take_events
 from .jobs import AttemptFailed, Job
 from .loads import record_success
@@ -58,7 +59,10 @@
         except PulleyError as error:
             await self.resume_elsewhere(error)
             return b""
-        return take_events(self.buffer, chunk or b"")
+        events = take_events(self.buffer, chunk or b"")
+        if events or self.exchange.finished:
+            record_good_answer(self.router, self.job)
+        return events
 
     async def resume_elsewhere(self, error: PulleyError) -> None:
         """Continue the stream after the last whole event at another endpoint.
--- /dev/null
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -0,0 +1,270 @@
+"""Decide which requests are refused because they crash the endpoints that run them.
+
+A request that was lost in a crash leaves a report with its keys: its prompt's shared
+parts, outermost first, and last the digest of the whole request. A key's depth in a
+report is one more than the key's score when the request was sent, so requests that
+were in flight at the same time, such as at a total outage, have the same depth. A
+good answer clears the keys of its request of the crashes known when it was sent. A
+sound key that others share is therefore cleared all the time, a deadly one never.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+# Crashes in succession after which a key is quarantined: one may be chance, a second
+# that of a request resent after the first.
+QUARANTINE_SCORE = 3
+# The same for a key that had a good answer shortly before: it is known not to crash
+# every endpoint, and many requests share it.
+SOUND_QUARANTINE_SCORE = 6
+SOUND_MS = 60_000
+HOLD_MS = 300_000
+MAX_REPORTS = 256
+MAX_SOUND_KEYS = 1_024
+MAX_CLEARED_KEYS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """A key of a lost request, and the key's depth in succession of crashes."""
+
+    key: str
+    depth: int
+
+
+@dataclass(frozen=True, slots=True)
+class LostRequest:
+    """A request that was lost in a crash; ``crash`` names the endpoint's incarnation.
+
+    ``suspects`` has at least one entry, the widest key first.
+    """
+
+    crash: str
+    suspects: tuple[Suspect, ...]
+
+    @property
+    def id(self) -> tuple[str, str]:
+        """Return what tells this report from others: the crash and the request."""
+        return self.crash, self.suspects[-1].key
+
+
+@dataclass(frozen=True, slots=True)
+class Clearance:
+    """A key that had a good answer after these crashes."""
+
+    key: str
+    crashes: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Scores:
+    """The keys of one request and their scores when it was sent.
+
+    ``crashes`` are, for each key, those that a good answer clears it of.
+    """
+
+    keys: tuple[str, ...] = ()
+    scores: tuple[int, ...] = ()
+    crashes: tuple[tuple[str, ...], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A report, and the clock reading in ms until which it holds."""
+
+    lost: LostRequest
+    until_ms: int
+
+
+@dataclass(slots=True)
+class Evidence:
+    """The crash reports that a router knows, and which keys they incriminate.
+
+    ``reports`` holds them by id, the oldest first. ``depths`` has, for each key, its
+    depth at each crash that it is not cleared of; ``cleared`` the crashes that it is
+    cleared of; ``sound_ms`` the clock reading of its last good answer, the oldest
+    first.
+    """
+
+    reports: dict[tuple[str, str], Held] = field(default_factory=dict)
+    depths: dict[str, dict[str, int]] = field(default_factory=dict)
+    cleared: dict[str, set[str]] = field(default_factory=dict)
+    sound_ms: dict[str, int] = field(default_factory=dict)
+
+
+def score_key(evidence: Evidence, key: str) -> int:
+    """Return how many crashes in succession a key is incriminated by.
+
+    >>> evidence = Evidence()
+    >>> add_report(evidence, LostRequest("one", (Suspect("part", 1),)), 0)
+    True
+    >>> add_report(evidence, LostRequest("two", (Suspect("part", 1),)), 0)
+    True
+    >>> score_key(evidence, "part")
+    1
+    """
+    depths = evidence.depths.get(key)
+    return min(max(depths.values()), len(depths)) if depths else 0
+
+
+def score_request(evidence: Evidence, keys: Sequence[str]) -> Scores:
+    """Return the scores of a request's keys, to be kept during its next attempt."""
+    if evidence.depths.keys().isdisjoint(keys):
+        return Scores(tuple(keys), (0,) * len(keys), ((),) * len(keys))
+    return Scores(
+        tuple(keys),
+        tuple(score_key(evidence, key) for key in keys),
+        tuple(tuple(evidence.depths.get(key, ())) for key in keys),
+    )
+
+
+def blame(crash: str, scores: Scores) -> LostRequest:
+    """Return the report of a request that was lost in a crash.
+
+    >>> blame("one", Scores(("wide", "narrow"), (2, 0))).suspects[1]
+    Suspect(key='narrow', depth=1)
+    """
+    pairs = zip(scores.keys, scores.scores, strict=True)
+    return LostRequest(crash, tuple(Suspect(key, score + 1) for key, score in pairs))
+
+
+def add_report(evidence: Evidence, lost: LostRequest, now_ms: int) -> bool:
+    """Add a report; return False if it was known."""
+    remove_expired(evidence, now_ms)
+    if lost.id in evidence.reports:
+        return False
+    while len(evidence.reports) >= MAX_REPORTS:
+        remove_oldest(evidence)
+    evidence.reports[lost.id] = Held(lost, now_ms + HOLD_MS)
+    for suspect in lost.suspects:
+        if lost.crash not in evidence.cleared.get(suspect.key, ()):
+            depths = evidence.depths.setdefault(suspect.key, {})
+            depths[lost.crash] = max(suspect.depth, depths.get(lost.crash, 0))
+    return True
+
+
+def remove_expired(evidence: Evidence, now_ms: int) -> None:
+    """Remove the reports whose time is over."""
+    while evidence.reports:
+        oldest = next(iter(evidence.reports.values()))
+        if oldest.until_ms > now_ms:
+            return
+        remove_oldest(evidence)
+
+
+def remove_oldest(evidence: Evidence) -> None:
+    """Remove the oldest report, and what it says of its keys."""
+    lost = evidence.reports.pop(next(iter(evidence.reports))).lost
+    for suspect in lost.suspects:
+        drop_crash(evidence, suspect.key, lost.crash)
+
+
+def drop_crash(evidence: Evidence, key: str, crash: str) -> None:
+    """Remove one crash from those that incriminate a key."""
+    depths = evidence.depths.get(key)
+    if depths is not None:
+        depths.pop(crash, None)
+        if not depths:
+            del evidence.depths[key]
+
+
+def add_clearance(evidence: Evidence, clearance: Clearance) -> bool:
+    """Clear a key of crashes; return False if that changes nothing."""
+    cleared = evidence.cleared.pop(clearance.key, set())
+    new = set(clearance.crashes) - cleared
+    evidence.cleared[clearance.key] = cleared | new
+    while len(evidence.cleared) > MAX_CLEARED_KEYS:
+        del evidence.cleared[next(iter(evidence.cleared))]
+    for crash in new:
+        drop_crash(evidence, clearance.key, crash)
+    return bool(new)
+
+
+def record_good(evidence: Evidence, scores: Scores, now_ms: int) -> list[Clearance]:
+    """Record a good answer and clear its request's keys; return what was cleared."""
+    cleared = []
+    for key, crashes in zip(scores.keys, scores.crashes):
+        evidence.sound_ms.pop(key, None)
+        evidence.sound_ms[key] = now_ms
+        clearance = Clearance(key, crashes)
+        if crashes and add_clearance(evidence, clearance):
+            cleared.append(clearance)
+    while len(evidence.sound_ms) > MAX_SOUND_KEYS:
+        del evidence.sound_ms[next(iter(evidence.sound_ms))]
+    return cleared
+
+
+def quarantine_score(evidence: Evidence, key: str, now_ms: int) -> int:
+    """Return the score at which a key is quarantined."""
+    sound_ms = evidence.sound_ms.get(key)
+    if sound_ms is not None and now_ms - sound_ms < SOUND_MS:
+        return SOUND_QUARANTINE_SCORE
+    return QUARANTINE_SCORE
+
+
+def is_incriminated(evidence: Evidence, key: str, now_ms: int) -> bool:
+    """Check whether a key's score is high enough for a quarantine."""
+    return score_key(evidence, key) >= quarantine_score(evidence, key, now_ms)
+
+
+def find_quarantined(
+    evidence: Evidence, keys: Iterable[str], now_ms: int
+) -> str | None:
+    """Return the first of a request's keys that is in quarantine, None without one."""
+    if not evidence.depths:
+        return None
+    remove_expired(evidence, now_ms)
+    for key in keys:
+        if key in evidence.depths and is_quarantined(evidence, key, now_ms):
+            return key
+    return None
+
+
+def is_quarantined(evidence: Evidence, key: str, now_ms: int) -> bool:
+    """Check whether a key explains some crash, and no narrower key explains it.
+
+    Requests that share a deadly part share the wider ones too; these are not to
+    blame.
+    """
+    if not is_incriminated(evidence, key, now_ms):
+        return False
+    return any(
+        find_culprit(evidence, held.lost, now_ms) == key
+        for held in evidence.reports.values()
+        if held.lost.crash in evidence.depths[key]
+    )
+
+
+def find_culprit(evidence: Evidence, lost: LostRequest, now_ms: int) -> str | None:
+    """Return the narrowest key of a lost request that is incriminated, if any is."""
+    for suspect in reversed(lost.suspects):
+        if is_incriminated(evidence, suspect.key, now_ms):
+            return suspect.key
+    return None
+
+
+def list_quarantined(evidence: Evidence, now_ms: int) -> list[str]:
+    """Return the keys in quarantine, for the status page."""
+    remove_expired(evidence, now_ms)
+    return [key for key in evidence.depths if is_quarantined(evidence, key, now_ms)]
+
+
+def quarantine_left_ms(evidence: Evidence, key: str, now_ms: int) -> int:
+    """Return for how long the last report about a key still holds, in ms."""
+    untils = [
+        held.until_ms
+        for held in evidence.reports.values()
+        if any(suspect.key == key for suspect in held.lost.suspects)
+    ]
+    return max(0, max(untils, default=now_ms) - now_ms)
+
+
+def may_resend(evidence: Evidence, keys: Iterable[str], now_ms: int) -> bool:
+    """Check whether a request that was lost in a crash may be sent again.
+
+    It may not if one more crash would quarantine it.
+    """
+    return all(
+        score_key(evidence, key) < quarantine_score(evidence, key, now_ms) - 1
+        for key in keys
+    )
--- /dev/null
+++ b/tests/adapter/steps/crash_documents.py
@@ -0,0 +1,58 @@
+"""Steps that write and read the routers' crash reports."""
+
+import asyncio
+
+from behave import then, when
+from pulley_platform_standins.stores import start_store
+
+from pulley_adapter.crash_documents import MAX_VALUE_BYTES
+from pulley_adapter.documents import decode_entry
+from pulley_adapter.names import CRASH_PREFIX
+from pulley_adapter.stores import connect_store
+from pulley_base import ProtocolError
+from pulley_direct.models import CrashReports
+from pulley_http import Client, close_client
+from pulley_policy.crashes import Clearance, LostRequest, Suspect
+
+REPORTS = CrashReports(
+    "router-1.1700000000000",
+    (
+        LostRequest("a/1", (Suspect("model/part/aa", 1), Suspect("model/part/bé", 3))),
+        LostRequest("b/2", (Suspect("model/request/00", 2),)),
+    ),
+    (Clearance("model/part/aa", ("a/1", "b/2")),),
+)
+TTL_MS = 60_000
+
+
+@when("a router writes crash reports under a lease and another reads the store")
+def write_and_read(context):
+    async def run():
+        store = await start_store()
+        client = Client()
+        try:
+            calls = connect_store(store.address, client)
+            granted = await calls.grant_lease(TTL_MS)
+            await calls.report_crashes(REPORTS, granted.lease)
+            return await calls.read_all()
+        finally:
+            close_client(client)
+            store.server.listener.close()
+
+    context.entries = asyncio.run(run()).entries
+
+
+@then("it reads the same reports")
+def check_reports(context):
+    assert context.entries == (REPORTS,), context.entries
+
+
+@then("the crash reports {value} are rejected")
+def check_rejected(context, value):
+    for data in (value.encode(), value.encode() + b" " * MAX_VALUE_BYTES):
+        try:
+            entry = decode_entry(CRASH_PREFIX + "router-1.1", data)
+        except ProtocolError as error:
+            assert error.step == "decode", error
+        else:
+            raise AssertionError(f"accepted as {entry}")
--- /dev/null
+++ b/tests/direct/crashing_part.feature
@@ -0,0 +1,26 @@
+Feature: A prompt part that crashes endpoints is refused by every router
+
+  Three routers share one store. Endpoints crash as they begin to answer a prompt with
+  a certain part, and start again after 0.3 s under new names. Such prompts come at all
+  routers, no two alike; sound ones share their other parts.
+
+  # Guards against crash after crash for as long as prompts with the part come.
+  Scenario: Prompts with a crashing part come at every router
+    When prompts with a crashing part come among sound ones for 4 s
+    Then at most 3 of them reach an endpoint later than 1 s after the fifth crash
+    And the later ones are refused at once as not run and quarantined
+    And every sound prompt sent later than 1 s after the fifth crash has its whole answer
+    And a router that starts later refuses the part too
+    And every router's pages for operators name the part, and no other
+
+  # Guards against a router that forgets its own crashes while the store is away.
+  Scenario: The store is away meanwhile
+    Given a store that is silent from the first prompt on
+    When prompts with a crashing part come among sound ones for 4 s
+    Then each router sent at most 6 of them to endpoints
+    And the routers share their reports within 2 s of the store's return
+
+  # Guards against a sound part refused because its callers hang up or get errors.
+  Scenario: Callers of a sound part hang up, and endpoints fail it
+    When callers hang up on prompts with one part, and endpoints fail more of them
+    Then a prompt with that part has its whole answer
--- /dev/null
+++ b/tests/direct/steps/crashing_part.py
@@ -0,0 +1,377 @@
+"""Steps with endpoints that crash as they begin to answer a certain prompt part."""
+
+import asyncio
+from collections import Counter
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+from behave import given, then, when
+from pulley_platform_standins.endpoints import (
+    Behavior,
+    StandInEndpoint,
+    answer_headers,
+    answer_request,
+    header_text,
+    list_endpoint,
+    unlist_endpoint,
+)
+from pulley_platform_standins.stores import StoreFault
+from scenes import (
+    CHAT,
+    Answer,
+    RouterFixture,
+    call,
+    send_call,
+    start_fixture,
+    wait_until_synced,
+)
+
+from pulley_adapter.headers import HEADER_CODEC, format_retry_after
+from pulley_adapter.stores import connect_store
+from pulley_direct.admin import describe_router, read_gauges
+from pulley_direct.app import RunningRouter, close_router, start_router
+from pulley_http import Client, Response, close_client, start_server
+
+N_ROUTERS = 3
+N_ENDPOINTS = 6
+RESTART_S = 0.3
+SOUND_INTERVAL_S = 0.03
+CRASHING_INTERVAL_S = 0.09
+MARGIN_S = 1.0
+REFUSED_AT_ONCE_MS = 100
+SOUND_PARTS = "f1:100,5b:50"
+CRASHING_PARTS = SOUND_PARTS + ",dead:20"
+LIMIT_S = 30
+N_HANG_UPS = 12
+HANG_UP_S = 0.03
+
+
+@dataclass(slots=True)
+class Prompt:
+    """One prompt, when it was sent in s of the loop, and what became of it."""
+
+    id: str
+    parts: str
+    router: int
+    sent_s: float
+    n_arrivals: int = 0
+    answer: Answer = field(default_factory=Answer)
+
+    @property
+    def crashing(self) -> bool:
+        """Return whether the prompt has the part that crashes endpoints."""
+        return self.parts.startswith(CRASHING_PARTS)
+
+
+@dataclass(slots=True)
+class Host:
+    """A host whose endpoint starts again after each crash."""
+
+    number: int
+    port: int = 0
+    endpoint: StandInEndpoint | None = None
+    n_starts: int = 0
+    down: bool = False
+
+
+@dataclass(slots=True)
+class Scene:
+    """The routers and hosts of one scenario, its prompts, and the times of crashes.
+
+    With ``keeps_names`` endpoints start again under the names that they had.
+    """
+
+    fixture: RouterFixture
+    routers: list[RunningRouter]
+    keeps_names: bool = False
+    hosts: list[Host] = field(default_factory=list)
+    clients: list[Client] = field(default_factory=list)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    crashes_s: list[float] = field(default_factory=list)
+    prompts: dict[str, Prompt] = field(default_factory=dict)
+
+    def prompts_after_fifth_crash(self, crashing: bool) -> list[Prompt]:
+        """Return the prompts sent later than the margin after the fifth crash."""
+        start_s = (self.crashes_s[:5] or [0.0])[-1] + MARGIN_S
+        return [
+            one
+            for one in self.prompts.values()
+            if one.crashing is crashing and one.sent_s > start_s
+        ]
+
+
+@asynccontextmanager
+async def start_scene():
+    """Start a store, hosts whose endpoints may crash, and routers."""
+    async with asyncio.timeout(LIMIT_S), start_fixture(0) as fixture:
+        scene = Scene(fixture, [fixture.running])
+        try:
+            for number in range(N_ENDPOINTS):
+                scene.hosts.append(Host(number))
+                await start_host(scene, scene.hosts[-1])
+            await wait_until_synced(fixture)
+            for _ in range(N_ROUTERS - 1):
+                await add_router(scene)
+            yield scene
+        finally:
+            close_scene(scene)
+
+
+def close_scene(scene: Scene) -> None:
+    """Cancel the tasks and close what ``start_scene`` opened itself."""
+    for task in scene.tasks:
+        task.cancel()
+    for running in scene.routers[1:]:
+        close_router(running)
+    for client in scene.clients:
+        close_client(client)
+    for host in scene.hosts:
+        host.endpoint.server.listener.close()
+        abort_connections(host.endpoint)
+
+
+async def start_host(scene: Scene, host: Host) -> None:
+    """Start a host's next endpoint, with a new name unless told, and list it."""
+    host.n_starts += 1
+    n_names = 1 if scene.keeps_names else host.n_starts
+    endpoint = StandInEndpoint(f"model-{host.number}-{n_names}", "model", slots=50)
+    handler = partial(answer_or_crash, scene, host)
+    endpoint.server = await start_server(handler, "127.0.0.1", host.port)
+    host.port = int(endpoint.address.rpartition(":")[2])
+    host.endpoint, host.down = endpoint, False
+    list_endpoint(scene.fixture.store, endpoint)
+
+
+async def add_router(scene: Scene) -> RunningRouter:
+    """Start one more router on the scene's store, and wait until it knows the fleet."""
+    first = scene.fixture.router.settings
+    settings = replace(first, instance=f"router-{len(scene.routers) + 1}")
+    client = Client()
+    scene.clients.append(client)
+    calls = connect_store(first.store_address, client)
+    running = await start_router(settings, HEADER_CODEC, calls, format_retry_after)
+    scene.routers.append(running)
+    await wait_for(lambda: len(running.router.fleet_view.endpoints) >= N_ENDPOINTS)
+    return running
+
+
+async def wait_for(condition, limit_s: float = 5.0) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+async def answer_or_crash(scene: Scene, host: Host, request) -> Response:
+    """Answer a request, or crash after the head if its prompt has the part."""
+    prompt = scene.prompts[header_text(request, b"attempt-id")]
+    prompt.n_arrivals += 1
+    if not prompt.crashing:
+        return await answer_request(host.endpoint, request)
+    headers = answer_headers(host.endpoint, request)
+    headers.append((b"content-type", b"text/event-stream"))
+    return Response(200, headers, crash(scene, host))
+
+
+async def crash(scene: Scene, host: Host):
+    """End every connection of a host's endpoint, and start the next one later."""
+    loop = asyncio.get_running_loop()
+    if not host.down:
+        host.down = True
+        scene.crashes_s.append(loop.time())
+        host.endpoint.server.listener.close()
+        loop.call_soon(abort_connections, host.endpoint)
+        scene.tasks.append(asyncio.create_task(restart_host(scene, host)))
+    raise ConnectionError("crashed")
+    yield b""
+
+
+def abort_connections(endpoint: StandInEndpoint) -> None:
+    """Abort every connection of an endpoint."""
+    for connection in list(endpoint.server.connections):
+        connection.abort()
+
+
+async def restart_host(scene: Scene, host: Host) -> None:
+    """Start a host's next endpoint at the same address, after a while."""
+    await asyncio.sleep(RESTART_S)
+    unlist_endpoint(scene.fixture.store, host.endpoint)
+    await start_host(scene, host)
+
+
+async def send_prompt(scene: Scene, router: int, parts: str) -> Prompt:
+    """Send one prompt to a router and read its answer."""
+    loop = asyncio.get_running_loop()
+    prompt = Prompt(f"request-{len(scene.prompts)}", parts, router, loop.time())
+    scene.prompts[prompt.id] = prompt
+    address = scene.routers[router].caller_server.address
+    prompt.answer = await send_call(
+        scene.fixture.client, address, CHAT, request_id=prompt.id, parts=parts
+    )
+    return prompt
+
+
+async def send_prompts(
+    scene: Scene, duration_s: float, interval_s: float, parts: str
+) -> None:
+    """Send prompts with shared parts at a fixed rate to the routers in turn.
+
+    No two are alike.
+    """
+    async with asyncio.TaskGroup() as group:
+        for number in range(int(duration_s / interval_s)):
+            prompt_parts = f"{parts},{number:x}a:10"
+            group.create_task(send_prompt(scene, number % N_ROUTERS, prompt_parts))
+            await asyncio.sleep(interval_s)
+
+
+@given("a store that is silent from the first prompt on")
+def silence_store(context):
+    context.store_away = True
+
+
+@when("prompts with a crashing part come among sound ones for {duration_s:d} s")
+def play(context, duration_s):
+    store_away = getattr(context, "store_away", False)
+
+    async def run():
+        async with start_scene() as scene:
+            if store_away:
+                scene.keeps_names = True
+                scene.fixture.store.fault = StoreFault.NO_ANSWER
+            await asyncio.gather(
+                send_prompts(scene, duration_s, SOUND_INTERVAL_S, SOUND_PARTS),
+                send_prompts(scene, duration_s, CRASHING_INTERVAL_S, CRASHING_PARTS),
+            )
+            if store_away:
+                context.sharing_s = await time_sharing(scene)
+            else:
+                await add_router(scene)
+                parts = f"{CRASHING_PARTS},late:10"
+                context.late = await send_prompt(scene, N_ROUTERS, parts)
+                context.pages = [read_pages(one.router) for one in scene.routers]
+            for task in filter(asyncio.Task.done, scene.tasks):
+                task.result()
+            return scene
+
+    context.scene = asyncio.run(run())
+
+
+async def time_sharing(scene: Scene) -> float:
+    """Return how long after the store's return its crash reports are written, in s."""
+    store = scene.fixture.store
+    loop = asyncio.get_running_loop()
+    store.fault = StoreFault.NONE
+    started_s = loop.time()
+    await wait_for(
+        lambda: sum("crashes/" in key for key in store.items) >= N_ROUTERS - 1
+    )
+    return loop.time() - started_s
+
+
+@then("at most {n:d} of them reach an endpoint later than 1 s after the fifth crash")
+def check_late_arrivals(context, n):
+    scene = context.scene
+    late = scene.prompts_after_fifth_crash(crashing=True)
+    reached = [one.id for one in late if one.n_arrivals]
+    assert len(reached) <= n, f"{len(reached)} of {len(late)} reached an endpoint"
+
+
+@then("the later ones are refused at once as not run and quarantined")
+def check_refusals(context):
+    late = context.scene.prompts_after_fifth_crash(crashing=True)
+    late = [one for one in late if not one.n_arrivals]
+    assert len(late) >= 5, len(late)
+    for one in late:
+        assert_quarantined(one.answer)
+
+
+def assert_quarantined(answer: Answer) -> None:
+    """Check that an answer is a refusal of a request that was not run."""
+    found = answer.status, answer.header("pulley-reason")
+    assert found == (503, "quarantined"), found
+    assert answer.header("pulley-outcome") == "not-run"
+    assert float(answer.header("retry-after")) > 1.0
+    assert answer.took_ms < REFUSED_AT_ONCE_MS, answer.took_ms
+
+
+@then(
+    "every sound prompt sent later than 1 s after the fifth crash has its whole answer"
+)
+def check_sound(context):
+    sound = context.scene.prompts_after_fifth_crash(crashing=False)
+    assert len(sound) >= 20, len(sound)
+    found = Counter((one.answer.status, one.answer.whole) for one in sound)
+    assert set(found) == {(200, True)}, found
+
+
+@then("a router that starts later refuses the part too")
+def check_late_router(context):
+    assert_quarantined(context.late.answer)
+    assert not context.late.n_arrivals
+
+
+def read_pages(router) -> tuple:
+    """Return what a router's pages for operators say of the quarantine."""
+    metric = read_gauges(router)["plantainpulley_direct_quarantined_keys"]
+    return describe_router(router)["quarantined"], metric
+
+
+@then("every router's pages for operators name the part, and no other")
+def check_pages(context):
+    expected = (["model/part/dead"], 1)
+    assert context.pages == [expected] * (N_ROUTERS + 1), context.pages
+
+
+@then("each router sent at most {n:d} of them to endpoints")
+def check_each_router(context, n):
+    prompts = context.scene.prompts.values()
+    found = Counter(one.router for one in prompts if one.crashing and one.n_arrivals)
+    assert max(found.values()) <= n, found
+
+
+@then("the routers share their reports within 2 s of the store's return")
+def check_sharing(context):
+    assert context.sharing_s <= 2.0, context.sharing_s
+
+
+@when("callers hang up on prompts with one part, and endpoints fail more of them")
+def abuse_part(context):
+    async def run():
+        async with start_fixture(3) as fixture:
+            model = [one for one in fixture.endpoints if one.service == "model"]
+            for endpoint in model:
+                endpoint.pause_ms = 2_000
+            for number in range(N_HANG_UPS):
+                await hang_up(fixture, number)
+            for behavior in (Behavior.FAILING, Behavior.FULL, Behavior.CUT_STREAM):
+                for endpoint in model:
+                    endpoint.pause_ms, endpoint.behavior = 0, behavior
+                for number in range(N_HANG_UPS):
+                    await call_with_part(fixture, f"{behavior}-{number}")
+            for endpoint in model:
+                endpoint.behavior = Behavior.NORMAL
+            return await call_with_part(fixture, "last")
+
+    context.answer = asyncio.run(run())
+
+
+async def call_with_part(fixture: RouterFixture, name: str) -> Answer:
+    """Send one prompt with the part."""
+    parts = f"{SOUND_PARTS},{len(name)}:10"
+    return await call(fixture, CHAT, request_id=name, parts=parts)
+
+
+async def hang_up(fixture: RouterFixture, number: int) -> None:
+    """Send one prompt with the part, and hang up before its answer ends."""
+    try:
+        name = f"hang-up-{number}"
+        await asyncio.wait_for(call_with_part(fixture, name), HANG_UP_S)
+    except TimeoutError:
+        return
+
+
+@then("a prompt with that part has its whole answer")
+def check_part(context):
+    assert (context.answer.status, context.answer.whole) == (200, True)
--- /dev/null
+++ b/tests/policy/steps/crashes.py
@@ -0,0 +1,253 @@
+"""Steps that simulate crashes and the routers' evidence, without a connection."""
+
+from dataclasses import dataclass, field
+
+from behave import given, then, when
+
+from pulley_policy.crashes import (
+    MAX_CLEARED_KEYS,
+    MAX_REPORTS,
+    MAX_SOUND_KEYS,
+    Clearance,
+    Evidence,
+    LostRequest,
+    add_clearance,
+    add_report,
+    blame,
+    find_quarantined,
+    list_quarantined,
+    may_resend,
+    record_good,
+    remove_expired,
+    score_request,
+)
+
+FIRST = "first"
+SUBJECT = "subject"
+DEADLY = "deadly"
+OTHER_DEADLY = "other-deadly"
+CRASH_AFTER_MS = 200
+ANSWER_AFTER_MS = 300
+MAX_ATTEMPTS = 2
+SOUND_EVERY_MS = 50
+
+
+@dataclass
+class Fleet:
+    """The routers' evidence, and what happens at which time in ms."""
+
+    delay_ms: int
+    evidence: list[Evidence]
+    events: dict[int, list] = field(default_factory=dict)
+    now_ms: int = 0
+    crashes_ms: list[int] = field(default_factory=list)
+    deadly_sent_ms: list[int] = field(default_factory=list)
+    n_requests: int = 0
+
+    def at(self, time_ms, step, *arguments):
+        """Plan a step."""
+        self.events.setdefault(time_ms, []).append((step, arguments))
+
+    def run(self):
+        """Take all planned steps in the order of their times."""
+        while self.events:
+            self.now_ms = min(self.events)
+            for step, arguments in self.events.pop(self.now_ms):
+                step(*arguments)
+
+    def send(self, router, keys, deadly, attempt=1):
+        """Send a request, unless it is quarantined; it crashes or is answered."""
+        evidence = self.evidence[router]
+        if find_quarantined(evidence, keys, self.now_ms) is not None:
+            return
+        scores = score_request(evidence, keys)
+        if deadly:
+            self.deadly_sent_ms.append(self.now_ms)
+            after_ms, step = CRASH_AFTER_MS, self.crash
+        else:
+            after_ms, step = ANSWER_AFTER_MS, self.answer
+        self.at(self.now_ms + after_ms, step, router, keys, scores, attempt)
+
+    def crash(self, router, keys, scores, attempt):
+        """Lose a request in a crash of its own, and resend it if that is allowed."""
+        self.crashes_ms.append(self.now_ms)
+        self.lose(router, f"endpoint-{len(self.crashes_ms)}", scores)
+        evidence = self.evidence[router]
+        if attempt < MAX_ATTEMPTS and may_resend(evidence, keys, self.now_ms):
+            self.send(router, keys, True, attempt + 1)
+
+    def lose(self, router, crash, scores):
+        """Report a request as lost; the other routers learn of it after the delay."""
+        self.share(router, add_report, blame(crash, scores))
+
+    def answer(self, router, keys, scores, attempt):
+        """Answer a request and clear its keys, at the other routers after the delay."""
+        evidence = self.evidence[router]
+        for clearance in record_good(evidence, scores, self.now_ms):
+            for other in self.evidence:
+                self.at(self.now_ms + self.delay_ms, add_clearance, other, clearance)
+
+    def share(self, router, add, report):
+        """Add a report at one router now, and at the others after the delay."""
+        add(self.evidence[router], report, self.now_ms)
+        learnt_ms = self.now_ms + self.delay_ms
+        for other in self.evidence:
+            self.at(learnt_ms, add, other, report, learnt_ms)
+
+    def new_keys(self, *parts):
+        """Return the keys of a request that differs from all others."""
+        self.n_requests += 1
+        return (*parts, f"request-{self.n_requests}")
+
+    def plan(self, every_ms, duration_s, make_keys, deadly):
+        """Plan requests at a fixed rate, at the routers in turn."""
+        for number, time_ms in enumerate(range(0, duration_s * 1_000, every_ms)):
+            router = number % len(self.evidence)
+            self.at(time_ms, self.send, router, make_keys(), deadly)
+
+    def plan_sound(self, duration_s):
+        """Plan answers to prompts that share the first part."""
+        self.plan(SOUND_EVERY_MS, duration_s, lambda: self.new_keys(FIRST), False)
+
+    def quarantined(self):
+        """Return the quarantined keys of each router."""
+        return [set(list_quarantined(one, self.now_ms)) for one in self.evidence]
+
+
+@given("{n:d} routers that learn of reports after {delay:d} ms")
+@given("{n:d} router that learns of reports after {delay:d} ms")
+def make_fleet(context, n, delay):
+    context.fleet = Fleet(delay, [Evidence() for _ in range(n)])
+
+
+@when("prompts with one deadly part come every {every:d} ms for {duration:d} s")
+def plan_deadly(context, every, duration):
+    fleet = context.fleet
+    fleet.plan_sound(duration)
+    fleet.plan(every, duration, lambda: fleet.new_keys(FIRST, SUBJECT, DEADLY), True)
+
+
+@when("prompts with another deadly part come every {every:d} ms for {duration:d} s")
+def plan_other_deadly(context, every, duration):
+    fleet = context.fleet
+    make_keys = lambda: fleet.new_keys(FIRST, SUBJECT, OTHER_DEADLY)
+    fleet.plan(every, duration, make_keys, True)
+
+
+@when("one request that crashes endpoints comes every {every:d} ms for {duration:d} s")
+def plan_deadly_request(context, every, duration):
+    fleet = context.fleet
+    fleet.plan_sound(duration)
+    fleet.plan(every, duration, lambda: (FIRST, SUBJECT, "deadly-request"), True)
+
+
+@when("prompts that share its parts come every {every:d} ms for {duration:d} s")
+def plan_sharing(context, every, duration):
+    fleet = context.fleet
+    fleet.plan(every, duration, lambda: fleet.new_keys(FIRST, SUBJECT), False)
+
+
+@when("{n:d} endpoints crash at once, each with prompts of every router")
+def crash_at_once(context, n):
+    fleet = context.fleet
+    for number in range(n):
+        for router, evidence in enumerate(fleet.evidence):
+            scores = score_request(evidence, fleet.new_keys(FIRST, SUBJECT))
+            fleet.at(CRASH_AFTER_MS, fleet.lose, router, f"endpoint-{number}", scores)
+
+
+@when(
+    "an endpoint crashes every {every:d} ms for {duration:d} s while prompts are "
+    "answered"
+)
+def crash_in_turn(context, every, duration):
+    fleet = context.fleet
+    fleet.plan_sound(duration)
+
+    def lose_one(router):
+        keys = fleet.new_keys(FIRST, f"subject-{router}")
+        scores = score_request(fleet.evidence[router], keys)
+        fleet.lose(router, f"endpoint-{fleet.now_ms}", scores)
+
+    for time_ms in range(0, duration * 1_000, every):
+        for router in range(len(fleet.evidence)):
+            fleet.at(time_ms, lose_one, router)
+
+
+@when("{seconds:d} s pass")
+def wait(context, seconds):
+    context.fleet.run()
+    context.fleet.now_ms += seconds * 1_000
+
+
+@when("{n:d} different requests are lost, cleared and answered")
+def fill(context, n):
+    evidence = context.fleet.evidence[0]
+    for number in range(n):
+        keys = (f"part-{number}", f"request-{number}")
+        scores = score_request(evidence, keys)
+        add_report(evidence, blame(f"endpoint-{number}", scores), number)
+        if number % 2:
+            add_clearance(evidence, Clearance(keys[0], (f"endpoint-{number}",)))
+        record_good(evidence, scores, number)
+
+
+@then("at most {n:d} of them are sent later than {late_ms:d} ms after the fifth crash")
+def check_late(context, n, late_ms):
+    fleet = context.fleet
+    fleet.run()
+    assert fleet.crashes_ms
+    late_ms += fleet.crashes_ms[:5][-1]
+    sent = [time_ms for time_ms in fleet.deadly_sent_ms if time_ms > late_ms]
+    assert len(sent) <= n, sent
+
+
+@then("the deadly part alone is quarantined at every router")
+def check_deadly(context):
+    found = context.fleet.quarantined()
+    assert all(keys == {DEADLY} for keys in found), found
+
+
+@then("both deadly parts are quarantined at every router, and no other part")
+def check_both(context):
+    context.fleet.run()
+    found = context.fleet.quarantined()
+    assert all(keys == {DEADLY, OTHER_DEADLY} for keys in found), found
+
+
+@then("that request alone is quarantined")
+def check_request(context):
+    context.fleet.run()
+    found = context.fleet.quarantined()
+    assert all(keys == {"deadly-request"} for keys in found), found
+
+
+@then("no part is quarantined")
+def check_none(context):
+    context.fleet.run()
+    assert not any(context.fleet.quarantined()), context.fleet.quarantined()
+
+
+@then("no shared first part is quarantined")
+def check_first(context):
+    context.fleet.run()
+    found = context.fleet.quarantined()
+    assert not any(FIRST in keys for keys in found), found
+
+
+@then("nothing is held any more")
+def check_empty(context):
+    for evidence in context.fleet.evidence:
+        remove_expired(evidence, context.fleet.now_ms)
+        assert not evidence.reports and not evidence.depths
+
+
+@then("at most {r:d} reports, {c:d} cleared keys and {s:d} sound keys are held")
+def check_bounds(context, r, c, s):
+    assert (r, c, s) == (MAX_REPORTS, MAX_CLEARED_KEYS, MAX_SOUND_KEYS)
+    evidence = context.fleet.evidence[0]
+    assert len(evidence.reports) <= r, len(evidence.reports)
+    assert len(evidence.cleared) <= c, len(evidence.cleared)
+    assert len(evidence.sound_ms) <= s, len(evidence.sound_ms)
+    assert len(evidence.depths) <= 2 * r, len(evidence.depths)
+    assert isinstance(next(iter(evidence.reports.values())).lost, LostRequest)
