Count a lost answer as a crash only if its endpoint is down

Cause: an endpoint that is up may break off an answer between the head and the first event. Three such answers at three endpoints had the same sound part, and none of the three endpoints had crashed. The quarantine ended when a router had a good answer to a request sent before, and shared the clearance.

Change: before a loss is reported, the router connects to the endpoint. It is down if it refuses, does not answer within 200 ms, or closes the connection within 100 ms, as a dying process may still accept. A refusal takes one round trip; the resend waits for it, so that it bears the score of the crash.

--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -1,8 +1,10 @@
 """Requests that crash endpoints: recorded when they are lost, refused from then on."""
 
+import asyncio
 from hashlib import blake2b
 
-from pulley_base import Reason
+from pulley_base import PulleyError, Reason, to_seconds
+from pulley_http.connections import ClientConnection, open_connection, read_more
 from pulley_policy.crashes import (
     Scores,
     blame,
@@ -24,6 +26,9 @@
 REQUEST_DIGEST_BYTES = 12
 # A caller is not kept away for longer, as a probe or a repair may end a quarantine.
 MAX_RETRY_AFTER_MS = 60_000
+PROBE_TIMEOUT_MS = 200
+# A dying process may accept a connection before it closes all that it holds.
+PROBE_OPEN_MS = 100
 
 
 def part_keys(job: Job) -> list[str]:
@@ -66,12 +71,13 @@
     return min(MAX_RETRY_AFTER_MS, left_ms)
 
 
-def record_loss(router: Router, job: Job, failure: AttemptFailed) -> None:
+async def record_loss(router: Router, job: Job, failure: AttemptFailed) -> None:
     """Report a prompt that was lost as its answer began, to be held against its keys.
 
     Other requests that an endpoint held as it crashed had no answer yet, or events.
+    Nothing is reported if the endpoint is up: it only broke off its answer.
     """
-    if not is_crash_loss(job, failure):
+    if not is_crash_loss(job, failure) or not await is_down(failure.endpoint.address):
         return
     scores = with_request_key(job)
     lost = blame(crash_id(failure.endpoint), scores)
@@ -85,6 +91,30 @@
     return lost and bool(job.call.parts) and job.scores is not None
 
 
+async def is_down(address: str) -> bool:
+    """Check whether an endpoint accepts no connection, or keeps none open."""
+    try:
+        connection = await open_connection(address, PROBE_TIMEOUT_MS)
+    except PulleyError:
+        return True
+    try:
+        return await ends_soon(connection)
+    finally:
+        connection.close()
+
+
+async def ends_soon(connection: ClientConnection) -> bool:
+    """Check whether the other side closes an unused connection at once."""
+    try:
+        async with asyncio.timeout(to_seconds(PROBE_OPEN_MS)):
+            await read_more(connection, "probe")
+    except TimeoutError:
+        return False
+    except PulleyError:
+        return True
+    return connection.ended
+
+
 def with_request_key(job: Job) -> Scores:
     """Return the scores of a job's last attempt, with its whole request as last key.
 
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -64,6 +64,7 @@
         try:
             response = await run_attempt(router, job, target)
         except AttemptFailed as failure:
+            await record_loss(router, job, failure)
             handle_attempt_failure(router, job, failure)
             reason = retry_denial_reason(router, job, failure)
             if reason is not None:
@@ -175,7 +176,6 @@
     """Record a failed attempt for its endpoint and its job, and log it."""
     name = failure.endpoint.name
     job.may_have_run = job.may_have_run or failure.may_have_run
-    record_loss(router, job, failure)
     backoff_until_ms = record_failed_attempt(
         router, job, failure.endpoint, failure.reason
     )
--- a/tests/direct/crashing_part.feature
+++ b/tests/direct/crashing_part.feature
@@ -20,6 +20,11 @@
     Then each router sent at most 6 of them to endpoints
     And the routers share their reports within 2 s of the store's return
 
+  # Guards against a broken answer of an endpoint that is up counted as a crash.
+  Scenario: Endpoints that are up break off answers after the head
+    When endpoints break off 12 prompts with one part before the first event
+    Then a prompt with that part has its whole answer
+
   # Guards against a sound part refused because its callers hang up or get errors.
   Scenario: Callers of a sound part hang up, and endpoints fail it
     When callers hang up on prompts with one part, and endpoints fail more of them
--- a/tests/direct/steps/crashing_part.py
+++ b/tests/direct/steps/crashing_part.py
@@ -357,6 +357,23 @@
     context.answer = asyncio.run(run())
 
 
+@when("endpoints break off {n:d} prompts with one part before the first event")
+def break_off(context, n):
+    async def run():
+        async with start_fixture(3) as fixture:
+            model = [one for one in fixture.endpoints if one.service == "model"]
+            for endpoint in model:
+                endpoint.behavior = Behavior.CUT_STREAM
+                endpoint.n_events_before_cut = 0
+            for number in range(n):
+                await call_with_part(fixture, f"cut-{number}")
+            for endpoint in model:
+                endpoint.behavior = Behavior.NORMAL
+            return await call_with_part(fixture, "last")
+
+    context.answer = asyncio.run(run())
+
+
 async def call_with_part(fixture: RouterFixture, name: str) -> Answer:
     """Send one prompt with the part."""
     parts = f"{SOUND_PARTS},{len(name)}:10"
@@ -374,4 +391,6 @@
 
 @then("a prompt with that part has its whole answer")
 def check_part(context):
-    assert (context.answer.status, context.answer.whole) == (200, True)
+    answer = context.answer
+    found = answer.status, answer.header("pulley-reason"), answer.whole
+    assert found == (200, "", True), found
