Quarantine at the second crash, and resend nothing that may have caused one

Cause: one prompt took two endpoints down, by its first attempt and its resend, and a third crash in succession was waited for.

A score of two with a resend has as many crashes as three.

Change: a key is quarantined at a score of two. A prompt that was lost in a confirmed crash as its answer began ends with 502, engine-crashed; its caller may repeat it. Other lost requests are resent as before.

The scenario "One prompt with a crashing part comes" fails on the code before with (2, 502, 'unknown'): two endpoints saw it.

--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -22,9 +22,9 @@
 # The newest of a router's own reports and clearances are shared, in one entry.
 MAX_OWN_REPORTS = 64
 MAX_OWN_CLEARANCES = 64
-# A key that reaches this score may soon be quarantined, so other routers are told of
+# One more crash would quarantine a key with this score, so other routers are told of
 # its clearance.
-SHARED_CLEARANCE_SCORE = 2
+SHARED_CLEARANCE_SCORE = 1
 OWN = "own"
 
 
--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -9,7 +9,6 @@
     Scores,
     blame,
     find_quarantined,
-    may_resend,
     quarantine_left_ms,
     record_good,
     score_request,
@@ -71,18 +70,21 @@
     return min(MAX_RETRY_AFTER_MS, left_ms)
 
 
-async def record_loss(router: Router, job: Job, failure: AttemptFailed) -> None:
+async def record_loss(router: Router, job: Job, failure: AttemptFailed) -> bool:
     """Report a prompt that was lost as its answer began, to be held against its keys.
 
+    Returns whether it was lost in a crash, which it may have caused.
+
     Other requests that an endpoint held as it crashed had no answer yet, or events.
     Nothing is reported if the endpoint is up: it only broke off its answer.
     """
     if not is_crash_loss(job, failure) or not await is_down(failure.endpoint.address):
-        return
+        return False
     scores = with_request_key(job)
     lost = blame(crash_id(failure.endpoint), scores)
     crash_log = router.fleet_view.crash_log
     record_own_loss(crash_log, lost, router.clock.now_ms())
+    return True
 
 
 def is_crash_loss(job: Job, failure: AttemptFailed) -> bool:
@@ -132,14 +134,6 @@
     return f"{endpoint.name}/{endpoint.started_ms}"
 
 
-def may_resend_lost(router: Router, job: Job, failure: AttemptFailed) -> bool:
-    """Check whether a request that may have crashed an endpoint may go to another."""
-    if not is_crash_loss(job, failure):
-        return True
-    evidence = router.fleet_view.crash_log.evidence
-    return may_resend(evidence, job.scores.keys, router.clock.now_ms())
-
-
 def record_good_answer(router: Router, job: Job) -> None:
     """Clear a request's keys: its answer is whole, or goes on past its first events."""
     scores = job.scores
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -15,7 +15,6 @@
 from .budgets import earn_retry, spend_retry
 from .crashes import (
     find_quarantine,
-    may_resend_lost,
     record_good_answer,
     record_loss,
     retry_after_quarantine_ms,
@@ -64,9 +63,12 @@
         try:
             response = await run_attempt(router, job, target)
         except AttemptFailed as failure:
-            await record_loss(router, job, failure)
+            crashed = await record_loss(router, job, failure)
             handle_attempt_failure(router, job, failure)
-            reason = retry_denial_reason(router, job, failure)
+            if crashed:
+                reason = Reason.ENGINE_CRASHED
+            else:
+                reason = retry_denial_reason(router, job, failure)
             if reason is not None:
                 return fall_back_or_refuse(router, job, reason, str(failure))
             continue
@@ -220,8 +222,6 @@
         return Reason.DEADLINE
     if not failure.reached:
         return None
-    if not may_resend_lost(router, job, failure):
-        return Reason.ENGINE_CRASHED
     if not has_attempts_left(job):
         return failure.reason
     if not spend_retry(router, job, failure.reason):
--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -11,9 +11,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-# Crashes in succession after which a key is quarantined: one may be chance, a second
-# that of a request resent after the first.
-QUARANTINE_SCORE = 3
+# Crashes in succession after which a key is quarantined; one may be chance.
+QUARANTINE_SCORE = 2
 # The same for a key that had a good answer shortly before: it is known not to crash
 # every endpoint, and many requests share it.
 SOUND_QUARANTINE_SCORE = 6
@@ -257,14 +256,3 @@
         if any(suspect.key == key for suspect in held.lost.suspects)
     ]
     return max(0, max(untils, default=now_ms) - now_ms)
-
-
-def may_resend(evidence: Evidence, keys: Iterable[str], now_ms: int) -> bool:
-    """Check whether a request that was lost in a crash may be sent again.
-
-    It may not if one more crash would quarantine it.
-    """
-    return all(
-        score_key(evidence, key) < quarantine_score(evidence, key, now_ms) - 1
-        for key in keys
-    )
--- a/tests/direct/crashing_part.feature
+++ b/tests/direct/crashing_part.feature
@@ -13,6 +13,12 @@
     And a router that starts later refuses the part too
     And every router's pages for operators name the part, and no other
 
+  # Guards against one prompt that takes down an endpoint with each of its attempts.
+  Scenario: One prompt with a crashing part comes
+    When one prompt with a crashing part comes, and another one a second later
+    Then each of them crashed one endpoint and its caller learns that it may have run
+    And a third one is refused as not run and quarantined
+
   # Guards against a router that forgets its own crashes while the store is away.
   Scenario: The store is away meanwhile
     Given a store that is silent from the first prompt on
--- a/tests/direct/steps/crashing_part.py
+++ b/tests/direct/steps/crashing_part.py
@@ -258,6 +258,31 @@
     context.scene = asyncio.run(run())
 
 
+@when("one prompt with a crashing part comes, and another one a second later")
+def send_singly(context):
+    async def run():
+        async with start_scene() as scene:
+            for number in range(N_ROUTERS):
+                parts = f"{CRASHING_PARTS},{number:x}a:10"
+                await send_prompt(scene, number, parts)
+                await asyncio.sleep(MARGIN_S)
+            return list(scene.prompts.values())
+
+    context.prompts = asyncio.run(run())
+
+
+@then("each of them crashed one endpoint and its caller learns that it may have run")
+def check_single_crashes(context):
+    for one in context.prompts[:2]:
+        found = one.n_arrivals, one.answer.status, one.answer.header("pulley-outcome")
+        assert found == (1, 502, "unknown"), found
+
+
+@then("a third one is refused as not run and quarantined")
+def check_third(context):
+    assert_quarantined(context.prompts[2].answer)
+
+
 async def time_sharing(scene: Scene) -> float:
     """Return how long after the store's return its crash reports are written, in s."""
     store = scene.fixture.store
--- a/tests/policy/steps/crashes.py
+++ b/tests/policy/steps/crashes.py
@@ -16,7 +16,6 @@
     blame,
     find_quarantined,
     list_quarantined,
-    may_resend,
     record_good,
     remove_expired,
     score_request,
@@ -28,7 +27,6 @@
 OTHER_DEADLY = "other-deadly"
 CRASH_AFTER_MS = 200
 ANSWER_AFTER_MS = 300
-MAX_ATTEMPTS = 2
 SOUND_EVERY_MS = 50
 
 
@@ -55,7 +53,7 @@
             for step, arguments in self.events.pop(self.now_ms):
                 step(*arguments)
 
-    def send(self, router, keys, deadly, attempt=1):
+    def send(self, router, keys, deadly):
         """Send a request, unless it is quarantined; it crashes or is answered."""
         evidence = self.evidence[router]
         if find_quarantined(evidence, keys, self.now_ms) is not None:
@@ -66,21 +64,18 @@
             after_ms, step = CRASH_AFTER_MS, self.crash
         else:
             after_ms, step = ANSWER_AFTER_MS, self.answer
-        self.at(self.now_ms + after_ms, step, router, keys, scores, attempt)
+        self.at(self.now_ms + after_ms, step, router, keys, scores)
 
-    def crash(self, router, keys, scores, attempt):
-        """Lose a request in a crash of its own, and resend it if that is allowed."""
+    def crash(self, router, keys, scores):
+        """Lose a request in a crash of its own."""
         self.crashes_ms.append(self.now_ms)
         self.lose(router, f"endpoint-{len(self.crashes_ms)}", scores)
-        evidence = self.evidence[router]
-        if attempt < MAX_ATTEMPTS and may_resend(evidence, keys, self.now_ms):
-            self.send(router, keys, True, attempt + 1)
 
     def lose(self, router, crash, scores):
         """Report a request as lost; the other routers learn of it after the delay."""
         self.share(router, add_report, blame(crash, scores))
 
-    def answer(self, router, keys, scores, attempt):
+    def answer(self, router, keys, scores):
         """Answer a request and clear its keys, at the other routers after the delay."""
         evidence = self.evidence[router]
         for clearance in record_good(evidence, scores, self.now_ms):
