Bound what a router holds of cleared crashes and writes of its own

Two holes that a caller could feed: a key that many requests share was remembered as cleared of every crash there ever was, and the entry in the store grew with the length of prompts and of clearances until other routers rejected it as too large.

Change: 256 crashes a cleared key; 32 reports and 32 clearances of 32 crashes in an entry, whose limit on reading covers that with the longest keys.

--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -20,8 +20,9 @@
 logger = logging.getLogger(__name__)
 
 # The newest of a router's own reports and clearances are shared, in one entry.
-MAX_OWN_REPORTS = 64
-MAX_OWN_CLEARANCES = 64
+MAX_OWN_REPORTS = 32
+MAX_OWN_CLEARANCES = 32
+MAX_SHARED_CRASHES = 32
 # One more crash would quarantine a key with this score, so other routers are told of
 # its clearance.
 SHARED_CLEARANCE_SCORE = 1
@@ -60,7 +61,8 @@
     if score < SHARED_CLEARANCE_SCORE:
         return
     log_clearance(crash_log, OWN, clearance, now_ms)
-    crash_log.own_cleared.append(clearance)
+    newest = clearance.crashes[-MAX_SHARED_CRASHES:]
+    crash_log.own_cleared.append(Clearance(clearance.key, newest))
     del crash_log.own_cleared[:-MAX_OWN_CLEARANCES]
     share(crash_log)
 
--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -73,10 +73,9 @@
 async def record_loss(router: Router, job: Job, failure: AttemptFailed) -> bool:
     """Report a prompt that was lost as its answer began, to be held against its keys.
 
-    Returns whether it was lost in a crash, which it may have caused.
-
     Other requests that an endpoint held as it crashed had no answer yet, or events.
-    Nothing is reported if the endpoint is up: it only broke off its answer.
+    Nothing is reported if the endpoint is up: it only broke off its answer. Returns
+    whether it was lost in a crash, which it may have caused.
     """
     if not is_crash_loss(job, failure) or not await is_down(failure.endpoint.address):
         return False
--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -21,6 +21,7 @@
 MAX_REPORTS = 256
 MAX_SOUND_KEYS = 1_024
 MAX_CLEARED_KEYS = 256
+MAX_CLEARED_CRASHES = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,15 +80,15 @@
 class Evidence:
     """The crash reports that a router knows, and which keys they incriminate.
 
-    ``reports`` holds them by id, the oldest first. ``depths`` has, for each key, its
-    depth at each crash that it is not cleared of; ``cleared`` the crashes that it is
-    cleared of; ``sound_ms`` the clock reading of its last good answer, the oldest
-    first.
+    ``reports`` holds them by id. ``depths`` has, for each key, its depth at each crash
+    that it is not cleared of; ``cleared`` the crashes that it is cleared of;
+    ``sound_ms`` the clock reading of its last good answer. The oldest entries of each
+    come first.
     """
 
     reports: dict[tuple[str, str], Held] = field(default_factory=dict)
     depths: dict[str, dict[str, int]] = field(default_factory=dict)
-    cleared: dict[str, set[str]] = field(default_factory=dict)
+    cleared: dict[str, dict[str, None]] = field(default_factory=dict)
     sound_ms: dict[str, int] = field(default_factory=dict)
 
 
@@ -169,16 +170,23 @@
 
 def add_clearance(evidence: Evidence, clearance: Clearance) -> bool:
     """Clear a key of crashes; return False if that changes nothing."""
-    cleared = evidence.cleared.pop(clearance.key, set())
-    new = set(clearance.crashes) - cleared
-    evidence.cleared[clearance.key] = cleared | new
-    while len(evidence.cleared) > MAX_CLEARED_KEYS:
-        del evidence.cleared[next(iter(evidence.cleared))]
+    cleared = evidence.cleared.pop(clearance.key, {})
+    evidence.cleared[clearance.key] = cleared
+    drop_first(evidence.cleared, MAX_CLEARED_KEYS)
+    new = [crash for crash in clearance.crashes if crash not in cleared]
     for crash in new:
+        cleared[crash] = None
         drop_crash(evidence, clearance.key, crash)
+    drop_first(cleared, MAX_CLEARED_CRASHES)
     return bool(new)
 
 
+def drop_first(entries: dict, most: int) -> None:
+    """Remove the oldest entries of a dictionary that holds more than ``most``."""
+    while len(entries) > most:
+        del entries[next(iter(entries))]
+
+
 def record_good(evidence: Evidence, scores: Scores, now_ms: int) -> list[Clearance]:
     """Record a good answer and clear its request's keys; return what was cleared."""
     cleared = []
@@ -188,8 +196,7 @@
         clearance = Clearance(key, crashes)
         if crashes and add_clearance(evidence, clearance):
             cleared.append(clearance)
-    while len(evidence.sound_ms) > MAX_SOUND_KEYS:
-        del evidence.sound_ms[next(iter(evidence.sound_ms))]
+    drop_first(evidence.sound_ms, MAX_SOUND_KEYS)
     return cleared
 
 
--- a/tests/adapter/crash_documents.feature
+++ b/tests/adapter/crash_documents.feature
@@ -5,6 +5,11 @@
     When a router writes crash reports under a lease and another reads the store
     Then it reads the same reports
 
+  # Guards against reports that grow until other routers reject them as too large.
+  Scenario: The largest reports that a router writes are read
+    When a router has lost and cleared 500 requests with the longest keys
+    Then its reports are small enough to be read
+
   # Guards against a follower that stops at an entry that another writer spoilt.
   Scenario Outline: A crash report with <fault> is rejected
     Then the crash reports <value> are rejected
--- a/tests/policy/crashes.feature
+++ b/tests/policy/crashes.feature
@@ -58,3 +58,4 @@
     Given 1 router that learns of reports after 10 ms
     When 10000 different requests are lost, cleared and answered
     Then at most 256 reports, 256 cleared keys and 1024 sound keys are held
+    And a key that all of them share is cleared of at most 256 crashes
