--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -16,7 +16,7 @@
 
 from .crash_log import record_own_clearance, record_own_loss
 from .jobs import AttemptFailed, Job
-from .models import Endpoint
+from .models import Endpoint, RetryClass
 from .routers import Router
 
 # Longer digests and longer prompts are truncated.
@@ -87,9 +87,14 @@
 
 
 def is_crash_loss(job: Job, failure: AttemptFailed) -> bool:
-    """Check whether a connection ended after an answer's head and before any event."""
+    """Check whether a stream's connection ended after its head, before any event.
+
+    How far an answer that is no stream had got is not known.
+    """
+    if job.route.retry_class is not RetryClass.STREAM or job.scores is None:
+        return False
     lost = failure.reason is Reason.CONNECTION_LOST and failure.answer_began
-    return lost and bool(job.call.parts) and job.scores is not None
+    return lost and bool(job.call.parts)
 
 
 async def is_down(address: str) -> bool:
