--- a/tests/direct/crashing_part.feature
+++ b/tests/direct/crashing_part.feature
@@ -31,6 +31,17 @@
     When endpoints break off 12 prompts with one part before the first event
     Then a prompt with that part has its whole answer
 
+  # Guards against an answer that was cut late and is then neither resent nor sound.
+  Scenario Outline: What counts as lost while its answer began
+    When a prompt on a <route> is lost <stage>
+    Then that <counts> as lost while its answer began
+
+    Examples:
+      | route  | stage                    | counts         |
+      | stream | after the head           | counts         |
+      | stream | before the head          | does not count |
+      | lookup | in the body              | does not count |
+
   # Guards against a sound part refused because its callers hang up or get errors.
   Scenario: Callers of a sound part hang up, and endpoints fail it
     When callers hang up on prompts with one part, and endpoints fail more of them
--- a/tests/direct/steps/crashing_part.py
+++ b/tests/direct/steps/crashing_part.py
@@ -29,9 +29,14 @@
 
 from pulley_adapter.headers import HEADER_CODEC, format_retry_after
 from pulley_adapter.stores import connect_store
+from pulley_base import Reason
 from pulley_direct.admin import describe_router, read_gauges
 from pulley_direct.app import RunningRouter, close_router, start_router
+from pulley_direct.crashes import is_crash_loss
+from pulley_direct.jobs import AttemptFailed, Job
+from pulley_direct.models import Call, Endpoint, PromptPart, RetryClass, Route
 from pulley_http import Client, Response, close_client, start_server
+from pulley_policy.crashes import Scores
 
 N_ROUTERS = 3
 N_ENDPOINTS = 6
@@ -283,6 +288,27 @@
     assert_quarantined(context.prompts[2].answer)
 
 
+@when("a prompt on a {route} is lost {stage}")
+def lose_prompt(context, route, stage):
+    retry_class = RetryClass.STREAM if route == "stream" else RetryClass.IDEMPOTENT
+    parts = (PromptPart("aa", 1), PromptPart("bb", 1))
+    call = Call("request-1", "host", "/", "POST", "/", [], parts=parts)
+    route = Route("route", "host", "/", retry_class, (), 1_000, 0)
+    job = Job(call, route, "model", None, b"", 0, 1_000, 1, scores=Scores())
+    failure = AttemptFailed(
+        Reason.CONNECTION_LOST,
+        stage,
+        Endpoint("model-1", "model", "127.0.0.1:1"),
+        answer_began=stage != "before the head",
+    )
+    context.counts = is_crash_loss(job, failure)
+
+
+@then("that {counts} as lost while its answer began")
+def check_counts(context, counts):
+    assert context.counts is (counts == "counts"), context.counts
+
+
 async def time_sharing(scene: Scene) -> float:
     """Return how long after the store's return its crash reports are written, in s."""
     store = scene.fixture.store
