Blame a part that was lost with different requests, whatever they are blamed for

Cause: at 10.118 s a router logged key_released for the part. Two prompts with it had each been sent twice, by their callers' repeats, so each was blamed itself; as only the narrowest key of a report was blamed, the part was not any more. More evidence had lifted the quarantine.

Change: a request is blamed if its own score is high enough. A part is, if it was lost with two different requests at least and no narrower part of one of them is incriminated. What its requests are blamed for doesn't count.

The scenario "Two prompts with one deadly part are each repeated by their callers" fails on the code before: only request-1 and request-2 are quarantined.

--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -36,7 +36,8 @@
 class LostRequest:
     """A request that was lost in a crash; ``crash`` names the endpoint's incarnation.
 
-    ``suspects`` has at least one entry, the widest key first.
+    ``suspects`` are its prompt's shared parts, the widest first, and last, in any case,
+    the key of the request itself.
     """
 
     crash: str
@@ -45,7 +46,12 @@
     @property
     def id(self) -> tuple[str, str]:
         """Return what tells this report from others: the crash and the request."""
-        return self.crash, self.suspects[-1].key
+        return self.crash, self.request
+
+    @property
+    def request(self) -> str:
+        """Return the key of the request itself."""
+        return self.suspects[-1].key
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,23 +233,35 @@
 
 
 def is_quarantined(evidence: Evidence, key: str, now_ms: int) -> bool:
-    """Check whether a key explains some crash, and no narrower key explains it.
+    """Check whether a key is to blame for some crash.
 
-    Requests that share a deadly part share the wider ones too; these are not to
-    blame.
+    The key of a request is if it is incriminated. A part is if, besides, it was lost
+    with different requests and no narrower part of one of them is incriminated:
+    requests that share a deadly part share the wider ones too.
     """
     if not is_incriminated(evidence, key, now_ms):
         return False
-    return any(
-        find_culprit(evidence, held.lost, now_ms) == key
+    reports = [
+        held.lost
         for held in evidence.reports.values()
-        if held.lost.crash in evidence.depths[key]
+        if held.lost.crash in evidence.depths[key] and has_key(held.lost, key)
+    ]
+    requests = {lost.request for lost in reports}
+    if key in requests:
+        return True
+    return len(requests) > 1 and any(
+        find_culprit(evidence, lost, now_ms) == key for lost in reports
     )
 
 
+def has_key(lost: LostRequest, key: str) -> bool:
+    """Check whether a lost request has a key."""
+    return any(suspect.key == key for suspect in lost.suspects)
+
+
 def find_culprit(evidence: Evidence, lost: LostRequest, now_ms: int) -> str | None:
-    """Return the narrowest key of a lost request that is incriminated, if any is."""
-    for suspect in reversed(lost.suspects):
+    """Return the narrowest part of a lost request that is incriminated, if any is."""
+    for suspect in reversed(lost.suspects[:-1]):
         if is_incriminated(evidence, suspect.key, now_ms):
             return suspect.key
     return None
@@ -258,8 +276,6 @@
 def quarantine_left_ms(evidence: Evidence, key: str, now_ms: int) -> int:
     """Return for how long the last report about a key still holds, in ms."""
     untils = [
-        held.until_ms
-        for held in evidence.reports.values()
-        if any(suspect.key == key for suspect in held.lost.suspects)
+        held.until_ms for held in evidence.reports.values() if has_key(held.lost, key)
     ]
     return max(0, max(untils, default=now_ms) - now_ms)
--- a/tests/policy/crashes.feature
+++ b/tests/policy/crashes.feature
@@ -19,6 +19,13 @@
       | 10    | 100   |
       | 500   | 30    |
 
+  # Guards against a part that is let through as each prompt's caller repeats it.
+  Scenario: Two prompts with one deadly part are each repeated by their callers
+    Given 8 routers that learn of reports after 500 ms
+    When two prompts with one deadly part are each sent again every 1000 ms
+    And prompts that share its other parts come every 200 ms for 20 s
+    Then the deadly part is quarantined at every router, and no other part
+
   # Guards against wider parts blamed for the narrower ones that share them.
   Scenario: Two deadly parts come with the same first part
     Given 8 routers that learn of reports after 500 ms
--- a/tests/policy/steps/crashes.py
+++ b/tests/policy/steps/crashes.py
@@ -136,6 +136,17 @@
     fleet.plan(every, duration, lambda: (FIRST, SUBJECT, "deadly-request"), True)
 
 
+@when("two prompts with one deadly part are each sent again every {every:d} ms")
+def plan_repeats(context, every):
+    fleet = context.fleet
+    first = fleet.new_keys(FIRST, SUBJECT, DEADLY)
+    second = fleet.new_keys(FIRST, SUBJECT, DEADLY)
+    for number in range(2):
+        fleet.at(number * every, fleet.send, number, first, True)
+        fleet.at(number * every, fleet.send, number + 2, second, True)
+
+
+@when("prompts that share its other parts come every {every:d} ms for {duration:d} s")
 @when("prompts that share its parts come every {every:d} ms for {duration:d} s")
 def plan_sharing(context, every, duration):
     fleet = context.fleet
@@ -210,6 +221,14 @@
     assert all(keys == {DEADLY, OTHER_DEADLY} for keys in found), found
 
 
+@then("the deadly part is quarantined at every router, and no other part")
+def check_deadly_part(context):
+    context.fleet.run()
+    found = context.fleet.quarantined()
+    parts = [{key for key in keys if "request" not in key} for keys in found]
+    assert all(keys == {DEADLY} for keys in parts), found
+
+
 @then("that request alone is quarantined")
 def check_request(context):
     context.fleet.run()
