Clear a part only by answers that its endpoint had to read it for

Callers could keep a crashing part out of quarantine, by intent or not: each 400 to a prompt with the part, and each success on a route that is no stream whose request names the part, cleared it of the crash before, at all routers, and raised its threshold to six at that one.

Cause: any whole answer below 500 counted as a good answer. An endpoint that turns a prompt down, or that serves a lookup, has not read the part.

Change: only a stream that goes on past its first events clears. Losses are counted for streams alone, so nothing else has to be cleared.

--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -15,7 +15,6 @@
 from .budgets import earn_retry, spend_retry
 from .crashes import (
     find_quarantine,
-    record_good_answer,
     record_loss,
     retry_after_quarantine_ms,
 )
@@ -100,8 +99,6 @@
         raise
     end_exchange(exchange)
     record_success(router.loads, endpoint.name)
-    if exchange.status < FIRST_SERVER_ERROR_STATUS:
-        record_good_answer(router, job)
     record_answer_time(
         router, job, endpoint, failed=exchange.status >= FIRST_SERVER_ERROR_STATUS
     )
