Count a stream that arrives in one piece as a good answer

Callers of sound parts with short answers got 503, quarantined: two endpoints crashed beside whole answers to prompts with the same parts.

Cause: a part was cleared when events followed the first ones that were read. A stream that had ended with those never got there, so that its parts were never cleared or known as sound, and plain crashes added up.

Change: such a stream is a good answer too.

--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -37,6 +37,8 @@
 
     async def __anext__(self) -> bytes:
         if self.first_events:
+            if self.exchange.finished:
+                record_good_answer(self.router, self.job)
             chunk, self.first_events = self.first_events, b""
             return chunk
         while True:
--- a/tests/direct/crashing_part_unseen.feature
+++ b/tests/direct/crashing_part_unseen.feature
@@ -15,3 +15,9 @@
     Given endpoints that answer 400 to a prompt with a crashing part and no model
     When 6 prompts with a crashing part come, one every 700 ms
     Then at most 3 endpoints crashed
+
+  # Guards against an answer that is late, from an endpoint out of reach, held against it.
+  Scenario: Endpoints go silent after the head, and cannot be reached
+    Given endpoints that stay silent after the head and accept no connection
+    When 6 prompts with a crashing part come, one every 700 ms
+    Then none is refused as quarantined
