Do not hold crash reports again that are read again after their time

A quarantine of five minutes could last for ten: when a router read the whole store again, as after lost history, or when an entry was written again, reports whose time was over were taken for new. Entries stay in the store for up to ten minutes.

Change: the ids of the last 1024 reports whose time is over are kept, and such reports are ignored. A crash id names one incarnation, so none comes again by itself.

The scenario "The store is read again after a quarantine has ended" fails on the code before: ['model/part/dead'].

--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -19,6 +19,7 @@
 SOUND_MS = 60_000
 HOLD_MS = 300_000
 MAX_REPORTS = 256
+MAX_EXPIRED_REPORTS = 1_024
 MAX_SOUND_KEYS = 1_024
 MAX_CLEARED_KEYS = 256
 MAX_CLEARED_CRASHES = 256
@@ -86,13 +87,15 @@
 class Evidence:
     """The crash reports that a router knows, and which keys they incriminate.
 
-    ``reports`` holds them by id. ``depths`` has, for each key, its depth at each crash
+    ``reports`` holds them by id, ``expired`` the ids of those whose time is over, as
+    they may be read again. ``depths`` has, for each key, its depth at each crash
     that it is not cleared of; ``cleared`` the crashes that it is cleared of;
     ``sound_ms`` the clock reading of its last good answer. The oldest entries of each
     come first.
     """
 
     reports: dict[tuple[str, str], Held] = field(default_factory=dict)
+    expired: dict[tuple[str, str], None] = field(default_factory=dict)
     depths: dict[str, dict[str, int]] = field(default_factory=dict)
     cleared: dict[str, dict[str, None]] = field(default_factory=dict)
     sound_ms: dict[str, int] = field(default_factory=dict)
@@ -135,9 +138,9 @@
 
 
 def add_report(evidence: Evidence, lost: LostRequest, now_ms: int) -> bool:
-    """Add a report; return False if it was known."""
+    """Add a report; return False if it is known, or was until its time was over."""
     remove_expired(evidence, now_ms)
-    if lost.id in evidence.reports:
+    if lost.id in evidence.reports or lost.id in evidence.expired:
         return False
     while len(evidence.reports) >= MAX_REPORTS:
         remove_oldest(evidence)
@@ -156,6 +159,8 @@
         if oldest.until_ms > now_ms:
             return
         remove_oldest(evidence)
+        evidence.expired[oldest.lost.id] = None
+        drop_first(evidence.expired, MAX_EXPIRED_REPORTS)
 
 
 def remove_oldest(evidence: Evidence) -> None:
--- a/tests/direct/crash_log.feature
+++ b/tests/direct/crash_log.feature
@@ -6,3 +6,9 @@
   Scenario: Many routers report many losses
     When 20 routers report 32 losses each
     Then quarantines are looked for at most 20 times
+
+  # Guards against a quarantine that starts again as the store is read again.
+  Scenario: The store is read again after a quarantine has ended
+    Given a part that is quarantined by a report
+    When 301 s pass and the same report is read again
+    Then that part is not quarantined
