Show that a wide outage ends the quarantine of a crashing part

Fails: a router holds 256 reports, the oldest give way, and those about a quarantined part are always the oldest, as no such request is sent any more. After 255 other losses the part is let through again, and crashes two more endpoints.

--- a/tests/direct/crash_log.feature
+++ b/tests/direct/crash_log.feature
@@ -12,3 +12,9 @@
     Given a part that is quarantined by a report
     When 301 s pass and the same report is read again
     Then that part is not quarantined
+
+  # Guards against a deadly part that is let through after a wide outage.
+  Scenario: A wide outage comes while a part is quarantined
+    Given a part that is quarantined by a report
+    When 20 routers report 32 losses each
+    Then that part is quarantined
