--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
-from itertools import islice
 
 # Crashes in succession after which a key is quarantined; one may be chance.
 QUARANTINE_SCORE = 2
@@ -21,7 +20,6 @@
 HOLD_MS = 300_000
 MAX_REPORTS = 256
 MAX_EXPIRED_REPORTS = 1_024
-MAX_SPARED_REPORTS = 32
 MAX_SOUND_KEYS = 1_024
 MAX_CLEARED_KEYS = 256
 MAX_CLEARED_CRASHES = 256
@@ -145,7 +143,7 @@
     if lost.id in evidence.reports or lost.id in evidence.expired:
         return False
     while len(evidence.reports) >= MAX_REPORTS:
-        remove_report(evidence, find_dispensable(evidence))
+        remove_oldest(evidence)
     evidence.reports[lost.id] = Held(lost, now_ms + HOLD_MS)
     for suspect in lost.suspects:
         if lost.crash not in evidence.cleared.get(suspect.key, ()):
@@ -157,31 +155,17 @@
 def remove_expired(evidence: Evidence, now_ms: int) -> None:
     """Remove the reports whose time is over."""
     while evidence.reports:
-        report, oldest = next(iter(evidence.reports.items()))
+        oldest = next(iter(evidence.reports.values()))
         if oldest.until_ms > now_ms:
             return
-        remove_report(evidence, report)
-        evidence.expired[report] = None
+        remove_oldest(evidence)
+        evidence.expired[oldest.lost.id] = None
         drop_first(evidence.expired, MAX_EXPIRED_REPORTS)
 
 
-def find_dispensable(evidence: Evidence) -> tuple[str, str]:
-    """Return the oldest report that keeps no key in quarantine.
-
-    Only some of the oldest are looked at; without such a report it is the oldest.
-    """
-    for report, held in islice(evidence.reports.items(), MAX_SPARED_REPORTS):
-        if not any(
-            score_key(evidence, suspect.key) >= QUARANTINE_SCORE
-            for suspect in held.lost.suspects
-        ):
-            return report
-    return next(iter(evidence.reports))
-
-
-def remove_report(evidence: Evidence, report: tuple[str, str]) -> None:
-    """Remove a report, and what it says of its keys."""
-    lost = evidence.reports.pop(report).lost
+def remove_oldest(evidence: Evidence) -> None:
+    """Remove the oldest report, and what it says of its keys."""
+    lost = evidence.reports.pop(next(iter(evidence.reports))).lost
     for suspect in lost.suspects:
         drop_crash(evidence, suspect.key, lost.crash)
 
