--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -19,6 +19,7 @@
 from .announcements import announce
 from .beliefs import FleetView
 from .channels import ChannelPool, close_unusable_idle
+from .counters import UNANSWERED
 from .followers import follow_store
 from .front import handle_request
 from .loads import LoadTable, remove_unlisted
@@ -97,6 +98,7 @@
         settings.callers_address,
         lambda request: handle_request(router, request),
         clock=clock,
+        on_unanswered=lambda: router.counters.unfinished.update([UNANSWERED]),
         format_retry_after=format_retry_after,
     )
     ready_server = await listen(
--- a/packages/direct/src/pulley_direct/counters.py
+++ b/packages/direct/src/pulley_direct/counters.py
@@ -6,6 +6,9 @@
 
 LATENCY_BUCKETS_MS = (10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
 
+CANCELLED = "cancelled"
+UNANSWERED = "unanswered"
+
 
 @dataclass(slots=True)
 class Histogram:
@@ -19,13 +22,18 @@
 
 @dataclass(slots=True)
 class Counters:
-    """Requests by status, failures and refusals by reason, times to the first byte."""
+    """Requests by status, failures and refusals by reason, times to the first byte.
+
+    ``unfinished`` counts the requests without a whole answer: ``CANCELLED`` if the
+    caller left before one began, ``UNANSWERED`` if the router ended the connection.
+    """
 
     answers: Counter = field(default_factory=Counter)
     refusals: Counter = field(default_factory=Counter)
     retries: Counter = field(default_factory=Counter)
     failures: Counter = field(default_factory=Counter)
     first_byte: Histogram = field(default_factory=Histogram)
+    unfinished: Counter = field(default_factory=Counter)
 
 
 def observe_ms(histogram: Histogram, duration_ms: int) -> None:
@@ -54,6 +62,7 @@
             ("plantainpulley_direct_refusals", "reason", counters.refusals),
             ("plantainpulley_direct_retries", "reason", counters.retries),
             ("plantainpulley_direct_attempt_failures", "reason", counters.failures),
+            ("plantainpulley_direct_unfinished", "end", counters.unfinished),
         ):
             family = CounterMetricFamily(name, f"{name} by {label}", labels=[label])
             for key, count in counts.items():
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -1,5 +1,6 @@
 """Callers' requests: admission, dispatch, and one log line for each."""
 
+import asyncio
 import logging
 from random import random
 
@@ -7,7 +8,7 @@
 from pulley_http import Request, RequestRefused, Response, read_all
 
 from .beliefs import configuration_age_ms
-from .counters import observe_ms
+from .counters import CANCELLED, observe_ms
 from .dispatch import dispatch
 from .jobs import Job
 from .models import Call, Configuration
@@ -49,6 +50,9 @@
     except RequestRefused as refusal:
         record_refusal(router, call, job, refusal, arrived_ms)
         raise
+    except asyncio.CancelledError:
+        record_cancellation(router, call, job, arrived_ms)
+        raise
     finally:
         router.n_in_flight -= 1
     record_answer(router, job, response, arrived_ms)
@@ -152,6 +156,22 @@
     )
 
 
+def record_cancellation(
+    router: Router, call: Call, job: Job | None, arrived_ms: int
+) -> None:
+    """Count and log a request whose caller left before its answer began."""
+    router.counters.unfinished[CANCELLED] += 1
+    log_event(
+        logger,
+        "request_cancelled",
+        request=call.request_id,
+        route=None if job is None else job.route.name,
+        sent=None if job is None else ",".join(job.sent_to),
+        timeout_ms=call.timeout_ms,
+        took_ms=router.clock.now_ms() - arrived_ms,
+    )
+
+
 def record_answer(
     router: Router, job: Job, response: Response, arrived_ms: int
 ) -> None:
--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -19,6 +19,8 @@
 LINGER_MS = 1_000
 # Colon, blank and line end of each header line.
 HEADER_OVERHEAD_BYTES = len(": \r\n")
+# States of h11 once an answer is complete.
+ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 FOLDED_LINE = re.compile(rb"\n[ \t]")
 
 logger = logging.getLogger(__name__)
@@ -32,6 +34,7 @@
     limits: Limits
     clock: Clock
     on_refused: Callable[[RequestRefused], None]
+    on_unanswered: Callable[[], None]
     format_retry_after: Callable[[int], bytes] = format_whole_seconds
     listener: asyncio.Server | None = None
     connections: set["HttpConnection"] = field(default_factory=set)
@@ -52,6 +55,7 @@
     limits: Limits | None = None,
     clock: Clock | None = None,
     on_refused: Callable[[RequestRefused], None] = lambda refusal: None,
+    on_unanswered: Callable[[], None] = lambda: None,
     format_retry_after: Callable[[int], bytes] = format_whole_seconds,
 ) -> Server:
     """Listen on ``host:port`` and answer each request with ``handler``.
@@ -59,10 +63,14 @@
     If the handler raises RequestRefused, the caller gets its problem document;
     any other exception becomes a 500. When the caller closes the connection,
     the task that runs the handler and sends the body is cancelled.
-    ``on_refused`` is called for each refusal, also for those of the server.
+    ``on_refused`` is called for each refusal, also for those of the server,
+    ``on_unanswered`` for each connection that the server itself ends while a request
+    on it has no whole answer.
     """
     limits, clock = limits or Limits(), clock or Clock()
-    server = Server(handler, limits, clock, on_refused, format_retry_after)
+    server = Server(
+        handler, limits, clock, on_refused, on_unanswered, format_retry_after
+    )
     loop = asyncio.get_running_loop()
     server.listener = await loop.create_server(
         lambda: HttpConnection(server), host, port, backlog=1024
@@ -91,7 +99,8 @@
 class HttpConnection(asyncio.Protocol):
     """One caller's connection.
 
-    ``handling`` is true while a handler runs or its response is being sent.
+    ``handling`` is true while a handler runs or its response is being sent,
+    ``n_requests`` counts the requests whose head was read.
     """
 
     def __init__(self, server: Server):
@@ -103,6 +112,7 @@
         self.task = None
         self.peer = ""
         self.handling = False
+        self.n_requests = 0
         self.peer_closed = False
         self.reading_paused = False
         self.n_unread_bytes = 0
@@ -168,15 +178,41 @@
         except (asyncio.CancelledError, ConnectionError):
             pass
         finally:
+            if self.is_unanswered():
+                self.record_unanswered()
             self.transport.close()
             self.server.connections.discard(self)
 
+    def is_unanswered(self) -> bool:
+        """Check whether this side ends the connection in the middle of a request."""
+        if self.peer_closed:
+            return False
+        unread = self.h11.trailing_data[0]
+        answered = self.h11.our_state in ANSWERED_STATES
+        return bool(unread) or (self.h11.their_state is not h11.IDLE and not answered)
+
+    def record_unanswered(self):
+        """Count and log that a request gets no whole answer, and how far it came."""
+        self.server.on_unanswered()
+        log_event(
+            logger,
+            "request_unanswered",
+            peer=self.peer,
+            handling=self.handling,
+            draining=self.server.draining,
+            n_requests=self.n_requests,
+            n_unread_bytes=len(self.h11.trailing_data[0]),
+            request_state=self.h11.their_state,
+            answer_state=self.h11.our_state,
+        )
+
     async def serve_request(self) -> bool:
         """Read and answer one request; return whether another may follow."""
         try:
             head = await self.read_head()
             if head is None:
                 return False
+            self.n_requests += 1
             request = self.build_request(head)
             self.handling = True
             response = await self.server.handler(request)
