Let bytes that have arrived win over a timeout

Callers saw: a whole request that got neither an answer nor a refusal; 504 and silence up to their own deadline for requests that an endpoint had answered in time; live streams given up and sent again elsewhere. All beside a change of a large configuration.

Cause: decoding a configuration keeps the event loop busy (75 ms for 1,400 routes on a quarter of a core, twice that for two versions in one answer of the store). A timeout of asyncio that falls due in that time cancels the waiting task in the very turn in which the bytes are read, and the wait reports that nothing came. An idle connection is then closed with a request in its buffer; a wait for an endpoint goes on for further bytes and never parses those that are there, until the deadline; a connect or a call to the store that succeeded counts as failed. Class: a timer that is taken for a fact about the peer, though the process itself was late.

Change: time_limit and wait_for_event in the base package. A timeout that is noticed late is granted as long again, bytes of the same turn count, and the loop reads once more before a wait says that nothing came. All waits of the HTTP packages and of the router use them; silence is counted in waits, not in wall time.

--- a/packages/base/src/pulley_base/__init__.py
+++ b/packages/base/src/pulley_base/__init__.py
@@ -11,6 +11,7 @@
 from .logs import configure_logs, log_event, warn_event
 from .outcomes import Outcome, Reason
 from .sentinels import ABSENT, UNAVAILABLE, UNKNOWN, Sentinel
+from .timeouts import time_limit, wait_for_event
 
 __all__ = [
     "ABSENT",
@@ -28,7 +29,9 @@
     "boot_time_ms",
     "configure_logs",
     "log_event",
+    "time_limit",
     "to_seconds",
+    "wait_for_event",
     "wall_time_ms",
     "warn_event",
 ]
--- a/packages/direct/src/pulley_direct/signals.py
+++ b/packages/direct/src/pulley_direct/signals.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from pulley_base import to_seconds
+from pulley_base import time_limit
 
 
 class Signal:
@@ -38,7 +38,7 @@
     ``timeout_ms``.
     """
     try:
-        async with asyncio.timeout(to_seconds(timeout_ms)):
+        async with time_limit(timeout_ms):
             while not condition():
                 await signal.wait()
     except TimeoutError:
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pulley_base import PulleyError, to_seconds
+from pulley_base import PulleyError, time_limit
 from pulley_http.connections import ClientConnection, read_more
 
 from .beliefs import usable_endpoints
@@ -42,21 +42,21 @@
     If the request may be sent again, the wait is also abandoned when the endpoint
     is unreachable or stays silent for too long. Raises AnswerTimeout.
     """
-    started_ms = router.clock.now_ms()
+    silent_ms = 0
     while True:
-        now_ms = router.clock.now_ms()
-        left_ms = job.deadline_ms - now_ms
+        left_ms = job.deadline_ms - router.clock.now_ms()
         if left_ms <= 0:
             raise AnswerTimeout(
                 "the deadline has passed", step="wait", before_deadline=False
             )
         unreachable = is_unreachable(router.loads, endpoint.name)
-        silent_ms = now_ms - started_ms
         if job.may_retry and should_abandon(job, silent_ms, unreachable):
             if has_other_endpoint(router, job) and reserve_retry(router, job):
                 raise AnswerTimeout("nothing came", step="wait", before_deadline=True)
-        if await read_within(connection, min(left_ms, POLL_INTERVAL_MS)):
+        wait_ms = min(left_ms, POLL_INTERVAL_MS)
+        if await read_within(connection, wait_ms):
             return
+        silent_ms += wait_ms
         record_if_late(router, job, endpoint)
 
 
@@ -68,13 +68,15 @@
 
 
 async def read_within(connection: ClientConnection, timeout_ms: int) -> bool:
-    """Wait for more bytes; return False if none came in time."""
+    """Wait for more bytes or the end; return False if nothing came in time."""
+    n_reads = connection.n_reads
     try:
-        async with asyncio.timeout(to_seconds(timeout_ms)):
+        async with time_limit(timeout_ms):
             await read_more(connection, "wait")
     except TimeoutError:
-        return False
-    return True
+        # The loop may have been busy since the timeout expired.
+        await asyncio.sleep(0)
+    return connection.ended or connection.n_reads != n_reads
 
 
 def should_abandon(job: Job, silent_ms: int, unreachable: bool) -> bool:
--- a/packages/http/src/pulley_http/clients.py
+++ b/packages/http/src/pulley_http/clients.py
@@ -1,13 +1,12 @@
 """An HTTP/1.1 client over h11 and asyncio, with a pool of idle connections."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
 import h11
 
-from pulley_base import Clock, ConnectionLost, ProtocolError, TimedOut, to_seconds
+from pulley_base import Clock, ConnectionLost, ProtocolError, TimedOut, time_limit
 
 from .connections import (
     ClientConnection,
@@ -58,7 +57,7 @@
     retried once on a new connection, for idempotent methods only.
     """
     try:
-        async with asyncio.timeout(None if timeout_ms is None else timeout_ms / 1000):
+        async with time_limit(timeout_ms):
             response, connection = await attempt_request(
                 client, peer, method, target, headers, body
             )
@@ -219,7 +218,7 @@
     if the body has not arrived in full within ``timeout_ms``.
     """
     try:
-        async with asyncio.timeout(to_seconds(timeout_ms)):
+        async with time_limit(timeout_ms):
             response = await send_request(
                 client, peer, method, target, headers=headers, body=body
             )
--- a/packages/http/src/pulley_http/connections.py
+++ b/packages/http/src/pulley_http/connections.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from pulley_base import ConnectionLost, TimedOut, to_seconds
+from pulley_base import ConnectionLost, TimedOut, time_limit, to_seconds
 
 READ_AHEAD_BYTES = 256 * 1024
 CHECKS_PER_STALL_TIMEOUT = 4
@@ -149,7 +149,7 @@
     host, _, port = peer.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(to_seconds(timeout_ms)):
+        async with time_limit(timeout_ms):
             _transport, connection = await loop.create_connection(
                 lambda: ClientConnection(peer), host, int(port)
             )
--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -8,7 +8,14 @@
 
 import h11
 
-from pulley_base import Clock, Reason, log_event, to_seconds, warn_event
+from pulley_base import (
+    Clock,
+    Reason,
+    log_event,
+    to_seconds,
+    wait_for_event,
+    warn_event,
+)
 
 from .models import Limits, Request, Response, find_header
 from .problems import RequestRefused, format_whole_seconds, problem_response
@@ -291,12 +298,7 @@
 
     async def wait_for_data(self, timeout_ms: int) -> bool:
         """Wait for bytes or the end of the stream; return False on a timeout."""
-        try:
-            async with asyncio.timeout(to_seconds(timeout_ms)):
-                await self.data_arrived.wait()
-        except TimeoutError:
-            return False
-        return True
+        return await wait_for_event(self.data_arrived, timeout_ms)
 
     def build_request(self, head: h11.Request) -> Request:
         """Build the request for the handler, with its body unread.
