Apply the limits in force to connections that are kept

Callers saw: a connection closed although the idle timeout had grown, and 431 for a head that the limits allow, after a change of the limits.

Cause: a waiting connection kept the idle timeout with which its wait began, and its parser the head limit with which the connection was made. Class: a copy of the configuration that outlives it.

Change: the wait for a request looks at the idle timeout again when the old one ends; the server checks the head limit itself, at each piece of a head.

Evidence: tests/http/limits failed before ("none" and 431), and passes now.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -24,6 +24,9 @@
 
 READ_AHEAD_BYTES = 256 * 1024
 LINGER_MS = 1_000
+# The most bytes that h11 holds of a head, or of a chunk's head. The limit on heads is
+# enforced here, as it may change while a connection is open.
+MAX_EVENT_BYTES = 1024 * 1024
 # Colon, blank and line end of each header line.
 HEADER_OVERHEAD_BYTES = len(": \r\n")
 # States of h11 once an answer is complete.
@@ -112,9 +115,7 @@
 
     def __init__(self, server: Server):
         self.server = server
-        self.h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
-        )
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_EVENT_BYTES)
         self.transport = None
         self.task = None
         self.peer = ""
@@ -251,28 +252,42 @@
     async def read_head(self) -> h11.Request | None:
         """Return the next request's head, or None at the end of the connection.
 
-        None also if no head has begun within the idle timeout. Raises
-        RequestRefused if one has begun but is not complete within the head timeout.
+        None also if no head has begun within the idle timeout.
+        Raises RequestRefused if one has begun but is not complete within the head
+        timeout, or is too large.
         """
-        limits = self.server.limits
         event = self.next_head_event()
         if event is h11.NEED_DATA:
-            timeout_ms = limits.idle_timeout_ms
-            if not await self.wait_for_data(timeout_ms):
+            if not await self.wait_for_request():
                 return None
             event = self.next_head_event()
         started_ms = self.server.clock.now_ms()
         while event is h11.NEED_DATA:
-            remaining_ms = (
-                started_ms + limits.head_timeout_ms - self.server.clock.now_ms()
-            )
-            if not await self.wait_for_data(remaining_ms):
+            if len(self.h11.trailing_data[0]) > self.server.limits.head_bytes:
+                raise head_too_large()
+            end_ms = started_ms + self.server.limits.head_timeout_ms
+            if not await self.wait_for_data(end_ms - self.server.clock.now_ms()):
                 raise RequestRefused(
                     408, Reason.HEAD_TOO_SLOW, "the head took too long", step="head"
                 )
             event = self.next_head_event()
         return event if isinstance(event, h11.Request) else None
 
+    async def wait_for_request(self) -> bool:
+        """Wait for a request's first bytes or the end; return False on a timeout.
+
+        The timeout is the one in force at the end of the wait.
+        """
+        idle_since_ms = self.server.clock.now_ms()
+        while True:
+            limits = self.server.limits
+            end_ms = idle_since_ms + limits.idle_timeout_ms
+            remaining_ms = end_ms - self.server.clock.now_ms()
+            if await self.wait_for_data(remaining_ms):
+                return True
+            if remaining_ms <= 0:
+                return False
+
     def next_head_event(self):
         """Return h11's next event while a head is expected.
 
--- /dev/null
+++ b/tests/http/limits.feature
@@ -0,0 +1,14 @@
+Feature: Limits that change while a connection is kept
+
+  A server's limits are replaced while callers hold connections to it. Callers may use the
+  new limits at once.
+
+  # Guards against a close while a caller may still send its next request.
+  Scenario: A connection that is idle when the idle timeout grows is kept for the new one
+    When a request arrives after the old idle timeout and before the new one
+    Then its answer has the status "200"
+
+  # Guards against a 431 for a head that the limits in force allow.
+  Scenario: A head that is within the limit in force is read on a kept connection
+    When the head limit grows and a longer head arrives in two parts
+    Then its answer has the status "200"
