Answer 500 to a request whose response can't be sent

Callers saw: neither an answer nor a refusal, or a cut answer, and no line in the log.

Cause: an error of the HTTP library while a response is encoded (a header that an endpoint sent and that HTTP does not allow, a content length that is not the body's) ended the connection's task; nothing caught or logged it. Class: an exception outside of what answers exceptions.

Change: the head is built and checked before anything is sent; if it is invalid the caller gets 500 and the log a line response_invalid.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -29,6 +29,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 # Colon, blank and line end of each header line.
 HEADER_OVERHEAD_BYTES = len(": \r\n")
+NOT_MODIFIED_STATUS = 304
 # States of h11 once an answer is complete.
 ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 FOLDED_LINE = re.compile(rb"\n[ \t]")
@@ -120,6 +121,7 @@
         self.task = None
         self.peer = ""
         self.handling = False
+        self.method = ""
         self.n_requests = 0
         self.peer_closed = False
         self.reading_paused = False
@@ -222,6 +224,7 @@
                 return False
             self.n_requests += 1
             request = self.build_request(head)
+            self.method = request.method
             self.handling = True
             response = await self.server.handler(request)
         except RequestRefused as refusal:
@@ -234,7 +237,7 @@
         except Exception as error:
             warn_event(logger, "handler_failed", peer=self.peer, error=repr(error))
             logger.debug("handler_failed", exc_info=error)
-            response = Response(500, [(b"content-type", b"text/plain")], b"error\n")
+            response = internal_error()
         await self.send_response(response)
         self.handling = False
         return self.is_reusable()
@@ -370,7 +373,15 @@
         self.discard_unread_body()
         if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        self.write(self.h11.send(self.build_response_head(response)))
+        try:
+            head = self.build_response_head(response)
+        except h11.LocalProtocolError as error:
+            warn_event(logger, "response_invalid", peer=self.peer, error=str(error))
+            if not isinstance(response.body, bytes):
+                await response.body.aclose()
+            response = internal_error()
+            head = self.build_response_head(response)
+        self.write(self.h11.send(head))
         if isinstance(response.body, bytes):
             if response.body:
                 self.write(self.h11.send(h11.Data(data=response.body)))
@@ -422,11 +433,17 @@
             await self.wait_for_data(deadline_ms - self.server.clock.now_ms())
 
     def build_response_head(self, response: Response) -> h11.Response:
-        """Return the response head, with a content-length if the body is bytes."""
+        """Return the response head, with a content-length if the body is bytes.
+
+        Raises LocalProtocolError for a response that can't be sent.
+        """
         headers = list(response.headers)
         if isinstance(response.body, bytes):
-            if find_header(headers, b"content-length") is None:
+            length = find_header(headers, b"content-length")
+            if length is None:
                 headers.append((b"content-length", b"%d" % len(response.body)))
+            elif self.method != "HEAD":
+                check_content_length(length, response)
         request_unread = not self.handling or self.h11.their_state is not h11.DONE
         if self.server.draining or request_unread:
             headers.append((b"connection", b"close"))
@@ -437,6 +454,25 @@
             self.transport.write(data)
 
 
+def internal_error() -> Response:
+    """Return the response to a request whose handling failed."""
+    return Response(500, [(b"content-type", b"text/plain")], b"error\n")
+
+
+def check_content_length(length: bytes, response: Response) -> None:
+    """Raise LocalProtocolError if a response's length is not that of its body.
+
+    A 304 states the length of a body that it does not have.
+    """
+    if response.status == NOT_MODIFIED_STATUS:
+        return
+    n_bytes = len(response.body)
+    if not length.isdigit() or int(length) != n_bytes:
+        raise h11.LocalProtocolError(
+            f"the content length is {length!r} and the body has {n_bytes} bytes"
+        )
+
+
 def check_framing(head: h11.Request) -> None:
     """Raise RequestRefused if the framing of the body is ambiguous or invalid.
 
