Answer a request that arrives as a drain begins

Callers saw: no answer to a request that was half sent, or sent and not read yet, when the server began to drain.

Cause: a drain aborted each connection that the parser called idle, also one with bytes of a head in its buffer or in the kernel's. Class: a decision about a connection made beside the task that reads it.

Change: a drain only wakes the connection's own task, which looks at the socket once more and closes the connection if nothing has arrived.

Evidence: both scenarios of tests/http/drains failed before (status "none") and pass now. Suite http: 43 scenarios passed.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -171,9 +171,9 @@
         self.writable.set()
 
     def close_if_idle(self):
-        """Close the connection unless a request is being received or handled."""
-        if not self.handling and self.h11.their_state is h11.IDLE:
-            self.abort()
+        """Make the connection's task close it, unless a request has begun to arrive."""
+        if not self.handling:
+            self.data_arrived.set()
 
     def abort(self):
         """Close at once and cancel the request in flight, if any."""
@@ -277,19 +277,27 @@
         return event if isinstance(event, h11.Request) else None
 
     async def wait_for_request(self) -> bool:
-        """Wait for a request's first bytes or the end; return False on a timeout.
+        """Wait for a request's first bytes or the end of the connection.
 
-        The timeout is the one in force at the end of the wait.
+        Returns False on a timeout, the one in force at the end of the wait, and when
+        the server drains.
         """
         idle_since_ms = self.server.clock.now_ms()
         while True:
             limits = self.server.limits
             end_ms = idle_since_ms + limits.idle_timeout_ms + limits.idle_grace_ms
             remaining_ms = end_ms - self.server.clock.now_ms()
-            if await self.wait_for_data(remaining_ms):
+            if await self.wait_for_data(remaining_ms) and await self.has_unread():
                 return True
-            if remaining_ms <= 0:
+            if remaining_ms <= 0 or self.server.draining:
                 return False
+            self.data_arrived.clear()
+
+    async def has_unread(self) -> bool:
+        """Check, after one more look at the socket, for bytes or the peer's close."""
+        if not self.n_unread_bytes and not self.peer_closed:
+            await asyncio.sleep(0)
+        return bool(self.n_unread_bytes or self.peer_closed)
 
     def next_head_event(self):
         """Return h11's next event while a head is expected.
--- /dev/null
+++ b/tests/http/drains.feature
@@ -0,0 +1,11 @@
+Feature: A drain that begins while a request arrives
+
+  # Guards against a request that is cut off after a part of it was read.
+  Scenario: A request whose head is half read when a drain begins is answered
+    When a drain begins after half of a head
+    Then its answer has the status "200"
+
+  # Guards against a request that is there, but not read yet, when its connection is closed.
+  Scenario: A request that has arrived unread when a drain begins is answered
+    When a drain begins before a request that has arrived is read
+    Then its answer has the status "200"
--- /dev/null
+++ b/tests/http/steps/drains.py
@@ -0,0 +1,64 @@
+"""Steps in which a server is drained while a request arrives."""
+
+import asyncio
+
+from behave import when
+from raw_callers import connect_raw, read_status
+
+from pulley_http import Response, start_server
+from pulley_http.servers import drain_server
+
+DRAIN_TIMEOUT_MS = 2_000
+PAUSE_S = 0.05
+REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+async def answer_empty(request):
+    return Response(200)
+
+
+async def drain_between(first: bytes, rest: bytes, pause_s: float) -> str:
+    """Send ``first``, wait, begin a drain, and send ``rest``; return the status."""
+    server = await start_server(answer_empty, "127.0.0.1", 0)
+    async with connect_raw(server) as caller:
+        await asyncio.sleep(PAUSE_S)
+        caller.send(first)
+        if pause_s:
+            await asyncio.sleep(pause_s)
+        drain = asyncio.create_task(drain_server(server, DRAIN_TIMEOUT_MS))
+        if rest:
+            await asyncio.sleep(PAUSE_S)
+            send_ignoring_close(caller, rest)
+        status = await read_status(caller)
+    await drain
+    return status
+
+
+def send_ignoring_close(caller, data: bytes) -> None:
+    """Send bytes for a caller whose connection may be closed."""
+    try:
+        caller.send(data)
+    except ConnectionError:
+        pass
+
+
+@when("a drain begins after half of a head")
+def drain_after_half_head(context):
+    half = len(REQUEST) // 2
+    context.status = asyncio.run(drain_between(REQUEST[:half], REQUEST[half:], PAUSE_S))
+
+
+@when("a drain begins before a request that has arrived is read")
+def drain_before_read(context):
+    async def run():
+        server = await start_server(answer_empty, "127.0.0.1", 0)
+        async with connect_raw(server) as caller:
+            await asyncio.sleep(PAUSE_S)
+            caller.send(REQUEST)
+            drain = asyncio.gather(
+                drain_server(server, DRAIN_TIMEOUT_MS), read_status(caller)
+            )
+            _n_aborted, context.status = await drain
+        server.listener.close()
+
+    asyncio.run(run())
