Wait in a drain until responses have been sent, not only written

Callers saw: a response without its end when the server stopped while they read slowly.

Cause: a connection left the server's set as soon as its task ended, with bytes still in the transport's buffer. The drain then ended, and the process with it.

Change: a connection belongs to the server until it has closed, and a drain waits for that, up to its timeout.

Evidence: both scenarios of tests/http/slow_drains failed before (no last chunk after 3,968,101 bytes) and pass now.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -98,20 +98,21 @@
     server.listener.close()
     for connection in list(server.connections):
         connection.close_if_idle()
-    tasks = [connection.task for connection in server.connections]
-    if not tasks:
+    closed = [connection.closed for connection in server.connections]
+    if not closed:
         return 0
-    _done, unfinished = await asyncio.wait(tasks, timeout=to_seconds(timeout_ms))
+    _done, unclosed = await asyncio.wait(closed, timeout=to_seconds(timeout_ms))
     for connection in list(server.connections):
         connection.abort()
-    return len(unfinished)
+    return len(unclosed)
 
 
 class HttpConnection(asyncio.Protocol):
     """One caller's connection.
 
     ``handling`` is true while a handler runs or its response is being sent,
-    ``n_requests`` counts the requests whose head was read.
+    ``n_requests`` counts the requests whose head was read. ``closed`` is done when
+    the connection has ended and all that was written to it has been sent.
     """
 
     def __init__(self, server: Server):
@@ -126,6 +127,7 @@
         self.peer_closed = False
         self.reading_paused = False
         self.n_unread_bytes = 0
+        self.closed = asyncio.get_running_loop().create_future()
         self.data_arrived = asyncio.Event()
         self.writable = asyncio.Event()
         self.writable.set()
@@ -158,6 +160,7 @@
 
     def connection_lost(self, exc):
         self.peer_closed = True
+        self.closed.set_result(None)
         self.server.connections.discard(self)
         self.writable.set()
         self.data_arrived.set()
@@ -191,7 +194,6 @@
             if self.is_unanswered():
                 self.record_unanswered()
             self.transport.close()
-            self.server.connections.discard(self)
 
     def is_unanswered(self) -> bool:
         """Check whether this side ends the connection in the middle of a request."""
