Count an endpoint as reachable once a connection to it succeeds

Callers saw: nothing, or a stream that ran at two endpoints. A stream that paused for 0.9 s was given up and sent to a second endpoint though its own had just been connected to.

Cause: a failed connect marked an endpoint as unreachable until an answer of it was complete; a later connect that succeeded did not clear the mark, and each attempt there that was silent for 250 ms was given up.

Change: a connect that succeeds clears the mark.

Evidence: tests/direct/connects failed before (the endpoints got [1, 1] requests) and passes now.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -18,7 +18,13 @@
 )
 
 from .budgets import count_routers
-from .channels import Channel, acquire_channel, close_channel, release_channel
+from .channels import (
+    Channel,
+    close_channel,
+    connect_channel,
+    release_channel,
+    take_idle,
+)
 from .jobs import AttemptFailed, Job
 from .loads import get_state, record_report
 from .models import AnswerMetadata, AttemptParameters, Endpoint
@@ -85,8 +91,11 @@
             reached=False,
             may_have_run=False,
         )
+    channel = take_idle(router.pool, endpoint.address)
+    if channel is not None:
+        return channel
     try:
-        return await acquire_channel(router.pool, endpoint.address)
+        channel = await connect_channel(router.pool, endpoint.address)
     except PulleyError as error:
         raise AttemptFailed(
             Reason.ENGINE_UNREACHABLE,
@@ -95,6 +104,8 @@
             reached=False,
             may_have_run=False,
         ) from error
+    get_state(router.loads, endpoint.name).unreachable = False
+    return channel
 
 
 def is_at_channel_limit(router: Router, endpoint: Endpoint) -> bool:
--- a/packages/direct/src/pulley_direct/channels.py
+++ b/packages/direct/src/pulley_direct/channels.py
@@ -48,14 +48,11 @@
     n_opened: int = 0
 
 
-async def acquire_channel(pool: ChannelPool, address: str) -> Channel:
-    """Return an idle channel, or open a new one.
+async def connect_channel(pool: ChannelPool, address: str) -> Channel:
+    """Open a new channel.
 
     Raises ConnectionLost or TimedOut with the step ``connect``.
     """
-    channel = take_idle(pool, address)
-    if channel is not None:
-        return channel
     pool.n_open[address] += 1
     try:
         connection = await open_connection(address, CONNECT_TIMEOUT_MS, ACK_TIMEOUT_MS)
