Let an endpoint read a long request body late

Callers saw: 502 for an order, or a cut stream, though the endpoint was at work and its host had acknowledged all that it had room for.

Cause: the limit on unacknowledged bytes, 700 ms, also ends a connection whose receiver has closed its window. Class: a silence that is taken for a failure.

Change: for a body over 64 KiB, which may not fit into a receive window, the limit is the time to the request's deadline. A dead endpoint is still noticed by the next connect that fails.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -20,6 +20,7 @@
 from .budgets import count_routers
 from .channels import (
     Channel,
+    allow_late_reading,
     close_channel,
     connect_channel,
     release_channel,
@@ -149,6 +150,7 @@
             reached=False,
             may_have_run=False,
         )
+    allow_late_reading(channel, len(job.body), left_ms)
     job.sent_to.append(endpoint.name)
     job.sent_ms = router.clock.now_ms()
     connection.transport.write(encode_request(connection.h11, request, job.body))
--- a/packages/direct/src/pulley_direct/channels.py
+++ b/packages/direct/src/pulley_direct/channels.py
@@ -6,7 +6,11 @@
 import h11
 
 from pulley_base import Clock
-from pulley_http.connections import ClientConnection, open_connection
+from pulley_http.connections import (
+    ClientConnection,
+    open_connection,
+    set_user_timeout,
+)
 
 # Many times a round trip between data centres, and below the shortest target of a
 # route (``target_ms``).
@@ -22,16 +26,23 @@
 IDLE_MARGIN_MS = 500
 
 
+# A request of up to this size fits into any endpoint's receive window. An endpoint that
+# leaves bytes of a longer one unacknowledged may just not have read it yet.
+MAX_WINDOW_BYTES = 64 * 1024
+
+
 @dataclass(slots=True)
 class Channel:
     """One connection to an endpoint.
 
-    ``expires_ms`` is the clock reading until which it may be reused.
+    ``expires_ms`` is the clock reading until which it may be reused. ``is_patient``
+    says that its endpoint may leave bytes unacknowledged until the deadline.
     """
 
     connection: ClientConnection
     address: str
     expires_ms: int = 0
+    is_patient: bool = False
 
 
 @dataclass(slots=True)
@@ -75,6 +86,18 @@
     return None
 
 
+def allow_late_reading(channel: Channel, n_bytes: int, left_ms: int) -> None:
+    """Let the endpoint read a request of ``n_bytes`` late if it is a long one.
+
+    ``left_ms`` is the time to the request's deadline.
+    """
+    is_patient = n_bytes > MAX_WINDOW_BYTES
+    if is_patient or channel.is_patient:
+        timeout_ms = max(ACK_TIMEOUT_MS, left_ms) if is_patient else ACK_TIMEOUT_MS
+        set_user_timeout(channel.connection, timeout_ms)
+    channel.is_patient = is_patient
+
+
 def release_channel(
     pool: ChannelPool, channel: Channel, idle_timeout_ms: int | None
 ) -> None:
--- a/packages/http/src/pulley_http/connections.py
+++ b/packages/http/src/pulley_http/connections.py
@@ -158,15 +158,22 @@
     except OSError as error:
         raise ConnectionLost(str(error), step="connect", peer=peer) from error
     if user_timeout_ms is not None:
-        enable_dead_peer_detection(
-            connection.transport.get_extra_info("socket"), user_timeout_ms
-        )
+        set_user_timeout(connection, user_timeout_ms)
+        enable_keep_alive(connection.transport.get_extra_info("socket"))
     return connection
 
 
-def enable_dead_peer_detection(sock: socket.socket, user_timeout_ms: int) -> None:
-    """Make the kernel end a connection whose peer no longer responds."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+def set_user_timeout(connection: ClientConnection, timeout_ms: int) -> None:
+    """Set how long sent bytes may be unacknowledged before the kernel ends it.
+
+    The kernel counts a peer whose receive window is closed like one that is gone.
+    """
+    sock = connection.transport.get_extra_info("socket")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def enable_keep_alive(sock: socket.socket) -> None:
+    """Make the kernel end an idle connection whose peer no longer responds."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
