Treat a stream that ends inside an event as broken off

What callers saw: a 200 whose stream ended with a part of an event, and whose answer was complete in its framing. Nobody resumed it. Cause: at the end of an endpoint's answer EventStream passed on whatever was left in its buffer. The end was judged by the framing of the answer alone, and an answer with neither a length nor chunks ends wherever its connection closes. Change: at its end a streamed answer is checked. If bytes are left that begin an event, it counts as a lost connection, whatever its framing: the stream is resumed after its last whole event, or the caller's answer is cut; the endpoint is recorded as failing and its connection is closed. The same holds for an answer without a framing that brought no event at all, as an endpoint leaves it that crashes when it begins to write: there it is a failed attempt (502, outcome unknown, if it may not be repeated). Why it works: only a blank line completes an event, so the rest of a complete stream is empty or made of blank lines and comments.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -32,6 +32,8 @@
 # memory.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MISDIRECTED_STATUS = 421
+NO_CONTENT_STATUS = 204
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Endpoints reset connections over their limit; the rest is for routers that are just
 # starting or stopping, which also hold connections.
 CHANNEL_LIMIT_SHARE = 0.9
@@ -300,6 +302,17 @@
     return b"".join(chunks)
 
 
+def shows_its_end(exchange: Exchange, job: Job) -> bool:
+    """Check whether an answer says itself where it ends.
+
+    One with neither a length nor chunks ends with its connection, as does one that
+    its endpoint broke off.
+    """
+    if job.call.method == "HEAD" or exchange.status == NO_CONTENT_STATUS:
+        return True
+    return any(name.lower() in FRAMING_HEADERS for name, _value in exchange.headers)
+
+
 def end_exchange(exchange: Exchange) -> None:
     """Release the channel of a finished exchange, close that of an incomplete one."""
     state = get_state(exchange.router.loads, exchange.endpoint.name)
--- a/packages/direct/src/pulley_direct/events.py
+++ b/packages/direct/src/pulley_direct/events.py
@@ -4,19 +4,21 @@
 from dataclasses import dataclass
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+BLANK_OR_COMMENT_LINES = re.compile(rb"(?:(?::[^\n]*)?\r?\n)*")
 EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 
 
 @dataclass(slots=True)
 class EventBuffer:
-    """Bytes of a stream that don't yet make a whole event.
+    """Bytes of one streamed answer that don't yet make a whole event.
 
-    ``last_id`` is the id of the last whole event that was taken out, None before
-    one.
+    ``last_id`` is the id of the last whole event of the stream, None before one;
+    ``has_events`` says whether this answer brought one.
     """
 
     pending: bytes = b""
     last_id: int | None = None
+    has_events: bool = False
 
 
 def take_events(buffer: EventBuffer, data: bytes) -> bytes:
@@ -34,7 +36,19 @@
         end = match.end()
     buffer.pending = pending[end:]
     whole = pending[:end]
+    buffer.has_events = buffer.has_events or bool(whole)
     ids = EVENT_ID.findall(whole)
     if ids:
         buffer.last_id = int(ids[-1])
     return whole
+
+
+def is_inside_event(buffer: EventBuffer) -> bool:
+    """Check whether the pending bytes begin an event.
+
+    Whole comment lines and blank lines belong to none.
+
+    >>> [is_inside_event(EventBuffer(rest)) for rest in (b"id: 2", b": end\\n")]
+    [True, False]
+    """
+    return BLANK_OR_COMMENT_LINES.fullmatch(buffer.pending) is None
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -6,8 +6,8 @@
 from pulley_base import ConnectionLost, PulleyError, Reason, log_event
 from pulley_http import Response, drop_hop_by_hop_headers
 
-from .attempts import Exchange, end_exchange, read_chunk
-from .events import EventBuffer, take_events
+from .attempts import Exchange, end_exchange, read_chunk, shows_its_end
+from .events import EventBuffer, is_inside_event, take_events
 from .jobs import AttemptFailed, Job
 from .loads import record_success
 from .outcomes import record_failed_attempt
@@ -50,10 +50,11 @@
 
         Empty if there is no whole event yet.
         """
-        if self.exchange.finished:
-            rest, self.buffer.pending = self.buffer.pending, b""
-            return rest or None
         try:
+            if self.exchange.finished:
+                check_end(self.exchange, self.job, self.buffer)
+                rest, self.buffer.pending = self.buffer.pending, b""
+                return rest or None
             chunk = await read_chunk(self.exchange, self.job)
         except PulleyError as error:
             await self.resume_elsewhere(error)
@@ -87,7 +88,7 @@
                 "the stream broke off and could not be resumed", step="body"
             ) from error
         self.exchange = resumed
-        self.buffer.pending = b""
+        self.buffer = EventBuffer(last_id=self.buffer.last_id)
 
     async def aclose(self) -> None:
         """End the exchange, whether or not it is complete."""
@@ -98,6 +99,22 @@
             self.exchange = None
 
 
+def check_end(exchange: Exchange, job: Job, buffer: EventBuffer) -> None:
+    """Check that a streamed answer that was read to its end is complete.
+
+    Raises ConnectionLost, and marks the exchange as unfinished, if it ended inside
+    an event. So does an answer without any event that does not show its end: its
+    endpoint may have stopped before the first one.
+    """
+    peer = exchange.channel.address
+    if is_inside_event(buffer):
+        exchange.finished = False
+        raise ConnectionLost("ended inside an event", step="body", peer=peer)
+    if not buffer.has_events and not shows_its_end(exchange, job):
+        exchange.finished = False
+        raise ConnectionLost("ended before any event", step="body", peer=peer)
+
+
 async def open_stream(
     router: Router, job: Job, exchange: Exchange, resume: ResumeStream
 ) -> Response:
@@ -107,14 +124,16 @@
     then ends the exchange.
     """
     stream = EventStream(router, job, exchange, resume)
-    while not stream.first_events and not exchange.finished:
-        try:
+    try:
+        while not stream.first_events and not exchange.finished:
             chunk = await read_chunk(exchange, job)
-        except PulleyError as error:
-            raise AttemptFailed(
-                Reason.CONNECTION_LOST, str(error), exchange.endpoint
-            ) from error
-        stream.first_events = take_events(stream.buffer, chunk or b"")
+            stream.first_events = take_events(stream.buffer, chunk or b"")
+        if not stream.first_events:
+            check_end(exchange, job, stream.buffer)
+    except PulleyError as error:
+        raise AttemptFailed(
+            Reason.CONNECTION_LOST, str(error), exchange.endpoint
+        ) from error
     job.streaming = True
     headers = [
         pair
