Let only its server's close complete a response without a length

What callers saw: nothing yet; found by reading for the same cause. Cause: ClientConnection took each end of a connection without an error for an orderly close by the server, also its own close or abort. A response without a length that was being read then looked complete. Evidence: own_close.feature failed on the code before with ASSERT FAILED: b'the first part' Change: a connection that is lost without the server's end of stream is broken. Why it works: asyncio reports an orderly close by the peer with eof_received before connection_lost, and nothing else does. Result: the suites direct, http and adapter pass, 132 scenarios.

--- a/packages/http/src/pulley_http/connections.py
+++ b/packages/http/src/pulley_http/connections.py
@@ -21,8 +21,9 @@
 
     Received bytes are passed to h11 at once; reading is paused while more than
     ``READ_AHEAD_BYTES`` of them are unread. ``ended`` is set when no more bytes
-    will arrive, ``broken`` when the connection ended with an error: a response
-    that is delimited by the end of the connection is then incomplete.
+    will arrive, ``broken`` when it was not the server that closed the connection in
+    order: a response that is delimited by the end of the connection is then
+    incomplete.
     """
 
     def __init__(self, peer: str):
@@ -59,7 +60,7 @@
         return False
 
     def connection_lost(self, exc):
-        self.broken = self.broken or (exc is not None and not self.ended)
+        self.broken = self.broken or not self.ended
         self.mark_ended()
         self.writable.set()
 
@@ -72,8 +73,8 @@
     def mark_ended(self):
         """Signal the end of the stream to h11, once, and wake the reader.
 
-        h11 is not told if the connection broke, so that the end of a broken
-        connection does not complete a response.
+        h11 is not told if the connection broke, so that its end does not complete a
+        response.
         """
         if not self.ended:
             self.ended = True
