Discard another request's answer within the deadline and a size

What callers saw: no answer at all, also long after their deadline, while the endpoint sent the rest of an answer to another request. Cause: discard_answer read such an answer to its end with neither a deadline nor a bound, so bytes without end held the request for good. Why it works: wait_for_bytes ends at the request's deadline, and the size bounds what arrives sooner than that. The others guard heads, chunks, trailers and bodies without end, which were bounded before.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -12,10 +12,7 @@
     log_event,
 )
 from pulley_http import Headers
-from pulley_http.connections import (
-    next_event,
-    parse_event,
-)
+from pulley_http.connections import parse_event
 
 from .budgets import count_routers
 from .channels import Channel, acquire_channel, close_channel, release_channel
@@ -223,7 +220,7 @@
             answer_to=metadata.request_id,
         )
         router.counters.failures[Reason.FOREIGN_ANSWER] += 1
-        await discard_answer(channel)
+        await discard_answer(router, job, channel, endpoint)
         restart_parser(channel, request, job.body)
 
 
@@ -237,11 +234,28 @@
     return metadata.request_id == job.call.request_id
 
 
-async def discard_answer(channel: Channel) -> None:
-    """Read an answer to its end and discard it."""
-    event = None
-    while not isinstance(event, h11.EndOfMessage):
-        event = await next_event(channel.connection, "body")
+async def discard_answer(
+    router: Router, job: Job, channel: Channel, endpoint: Endpoint
+) -> None:
+    """Read an answer to its end and discard it.
+
+    Raises ConnectionLost if it is cut or larger than ``MAX_BODY_BYTES``, and
+    AnswerTimeout if it has no end in time.
+    """
+    connection = channel.connection
+    peer = channel.address
+    n_bytes = 0
+    while n_bytes <= MAX_BODY_BYTES:
+        event = parse_event(connection, "body")
+        if event is h11.NEED_DATA:
+            await wait_for_bytes(router, job, endpoint, connection)
+        elif isinstance(event, h11.Data):
+            n_bytes += len(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return
+        else:
+            raise ConnectionLost("closed in mid-answer", step="body", peer=peer)
+    raise ConnectionLost("a foreign answer is too large", step="body", peer=peer)
 
 
 def restart_parser(channel: Channel, request: h11.Request, body: bytes) -> None:
--- /dev/null
+++ b/tests/direct/endless_answers.feature
@@ -0,0 +1,57 @@
+Feature: An endpoint that sends bytes without end costs a bounded time and memory
+
+  A faulty endpoint sends bytes that never make an answer until the router closes the
+  connection. Each request has a timeout of a second, and one endpoint to go to.
+
+  # Guards against a router that reads such bytes for as long as they come.
+  Scenario Outline: An order whose endpoint sends <bytes> without end
+    When an order's endpoint sends <bytes> without end
+    Then the caller gets a <status> with the outcome "unknown" in time
+    And the router took at most <most> MiB from the endpoint and closed its connection
+    And the endpoint that sent without end counts as failing
+
+    Examples:
+      | bytes                       | status | most |
+      | a status line               | 502    | 8    |
+      | a header line               | 502    | 8    |
+      | header lines                | 502    | 8    |
+      | a chunk size                | 502    | 8    |
+      | a chunk extension           | 502    | 8    |
+      | trailers                    | 502    | 8    |
+      | a body without a length     | 502    | 32   |
+      | chunks                      | 502    | 32   |
+      | the body of a refusal       | 502    | 32   |
+      | a body to another request   | 502    | 32   |
+
+  # Guards against a stream that is held and scanned again until its deadline.
+  Scenario Outline: A stream whose endpoint sends <bytes> without end
+    When a stream's endpoint sends <bytes> without end
+    Then the router took at most <most> MiB from the endpoint and closed its connection
+    And the endpoint that sent without end counts as failing
+    And the caller's stream <result> in time
+
+    Examples:
+      | bytes                  | most | result     |
+      | an event after another | 16   | is cut     |
+
+  # Guards against waits without a deadline: a few bytes now and then never stall.
+  Scenario Outline: An order whose endpoint sends <bytes> slowly
+    When an order's endpoint drips <bytes>
+    Then the caller gets a 504 with the outcome "unknown" in time
+    And the router took at most 1 MiB from the endpoint and closed its connection
+
+    Examples:
+      | bytes                     |
+      | a header line             |
+      | a body without a length   |
+      | a body to another request |
+
+  # Guards against a bound that a sound endpoint meets.
+  Scenario Outline: <count> <bytes> come before the answer
+    When <count> <bytes> come before the answer to a request
+    Then the caller gets the answer after them
+
+    Examples:
+      | count | bytes                      |
+      | 3     | informational answers      |
+      | 3     | answers to another request |
--- a/tests/direct/steps/broken_streams.py
+++ b/tests/direct/steps/broken_streams.py
@@ -5,6 +5,7 @@
 from behave import then, when
 from raw_endpoints import (
     RawAnswer,
+    Script,
     add_raw_endpoints,
     encode_framed,
     end_connection,
@@ -50,7 +51,8 @@
 
     async def run():
         async with start_fixture(n_endpoints=0) as fixture:
-            script = await add_raw_endpoints(fixture, "model", 3, answers)
+            script = Script(answers)
+            await add_raw_endpoints(fixture, "model", 3, script)
             context.answer = await asyncio.wait_for(
                 call(fixture, path, timeout_ms=TIMEOUT_MS), 2 * TIMEOUT_MS / 1_000
             )
--- a/tests/direct/steps/raw_endpoints.py
+++ b/tests/direct/steps/raw_endpoints.py
@@ -36,12 +36,14 @@
 class Script:
     """Answers in the order in which requests arrive; the last one is repeated.
 
-    ``n_open`` counts the connections that the router keeps open.
+    ``n_open`` counts the connections that the router keeps open, ``n_sent_bytes``
+    what it took of answers without end.
     """
 
     answers: list[RawAnswer]
     requests: list[RawRequest] = field(default_factory=list)
     n_open: int = 0
+    n_sent_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -58,16 +60,14 @@
 
 
 async def add_raw_endpoints(
-    fixture: RouterFixture, service: str, n_endpoints: int, answers: list[RawAnswer]
-) -> Script:
+    fixture: RouterFixture, service: str, n_endpoints: int, script: Script
+) -> None:
     """Start endpoints that answer by one script, and list them in the store."""
-    script = Script(answers)
     for number in range(n_endpoints):
         endpoint = await start_raw_endpoint(f"raw-{number}", service, script)
         fixture.endpoints.append(endpoint)
         list_endpoint(fixture.store, endpoint)
     await wait_until_synced(fixture)
-    return script
 
 
 async def start_raw_endpoint(name: str, service: str, script: Script) -> RawEndpoint:
@@ -138,10 +138,3 @@
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
         writer.transport.abort()
-
-
-async def write_without_end(writer: asyncio.StreamWriter, piece: bytes) -> None:
-    """Write a piece again and again until the peer closes the connection."""
-    while not writer.is_closing():
-        writer.write(piece)
-        await writer.drain()
