Skip only so many answers before the expected one

What callers saw: a 504 at their deadline, while the router parsed heads as fast as the endpoint sent them. Cause: read_matching_head skipped informational answers and those to other requests without a bound. Both are whole messages, so the parser's bound on an incomplete head does not apply. Evidence: two scenarios of endless_answers.feature failed on the code before, with ASSERT FAILED: Answer(status=504, ..., (b'pulley-reason', b'deadline')) Change: after 16 skipped answers the connection counts as lost. Why it works: a sound endpoint sends an informational answer or two, and at most repeats its answers to the few requests before on the channel. Result: the endpoint is failed with a 502 at once; the suite direct passes.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -28,6 +28,9 @@
 # Larger than any answer that is buffered whole, and a small part of a router's
 # memory.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Informational answers, and those to earlier requests, that may come before the
+# expected one: far more than a sound endpoint sends.
+MAX_SKIPPED_ANSWERS = 16
 MISDIRECTED_STATUS = 421
 NO_CONTENT_STATUS = 204
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
@@ -197,18 +200,12 @@
     """Read answers until one belongs to this request.
 
     An endpoint may repeat its answer to an earlier request before it sends the
-    expected one.
+    expected one. Raises ConnectionLost after ``MAX_SKIPPED_ANSWERS`` others.
     """
-    connection = channel.connection
-    while True:
-        head = parse_event(connection, "head")
-        if head is h11.NEED_DATA:
-            await wait_for_bytes(router, job, endpoint, connection)
-            continue
+    for _ in range(MAX_SKIPPED_ANSWERS + 1):
+        head = await read_head(router, job, channel, endpoint)
         if isinstance(head, h11.InformationalResponse):
             continue
-        if not isinstance(head, h11.Response):
-            raise ConnectionLost("closed early", step="head", peer=channel.address)
         metadata = router.header_codec.read_answer(head.headers)
         if is_answer_to_job(job, head.status_code, metadata):
             return head, metadata
@@ -222,6 +219,21 @@
         router.counters.failures[Reason.FOREIGN_ANSWER] += 1
         await discard_answer(router, job, channel, endpoint)
         restart_parser(channel, request, job.body)
+    raise ConnectionLost("too many other answers", step="head", peer=channel.address)
+
+
+async def read_head(
+    router: Router, job: Job, channel: Channel, endpoint: Endpoint
+) -> h11.Response | h11.InformationalResponse:
+    """Read the next head on a channel, also that of an informational answer."""
+    connection = channel.connection
+    head = parse_event(connection, "head")
+    while head is h11.NEED_DATA:
+        await wait_for_bytes(router, job, endpoint, connection)
+        head = parse_event(connection, "head")
+    if not isinstance(head, h11.Response | h11.InformationalResponse):
+        raise ConnectionLost("closed early", step="head", peer=channel.address)
+    return head
 
 
 def is_answer_to_job(job: Job, status: int, metadata: AnswerMetadata) -> bool:
--- a/tests/direct/endless_answers.feature
+++ b/tests/direct/endless_answers.feature
@@ -15,6 +15,8 @@
       | a status line               | 502    | 8    |
       | a header line               | 502    | 8    |
       | header lines                | 502    | 8    |
+      | informational answers       | 502    | 8    |
+      | answers to another request  | 502    | 8    |
       | a chunk size                | 502    | 8    |
       | a chunk extension           | 502    | 8    |
       | trailers                    | 502    | 8    |
