Limit the size of an event that is still incomplete

What callers saw: a 504 at their deadline. Until then the router kept all bytes that the endpoint sent, and searched all of them again for the end of the event each time more arrived. Cause: the bytes that make no whole event yet had no bound. Evidence: two scenarios of endless_answers.feature failed on the code before: ASSERT FAILED: Answer(status=504, ..., (b'pulley-reason', b'connection-lost')), the timeout having passed. Change: over 1 MiB without an event's end break the stream off. It is resumed or cut after its last whole event, and the endpoint fails. Why it works: the bound is checked before more bytes are added, when the whole events before them have been passed on, so none is lost.

--- a/packages/direct/src/pulley_direct/events.py
+++ b/packages/direct/src/pulley_direct/events.py
@@ -3,6 +3,10 @@
 import re
 from dataclasses import dataclass
 
+from pulley_base import ProtocolError
+
+# Hundreds of times the size of an event with some tokens.
+MAX_EVENT_BYTES = 1024 * 1024
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 BLANK_OR_COMMENT_LINES = re.compile(rb"(?:(?::[^\n]*)?\r?\n)*")
 EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
@@ -24,12 +28,16 @@
 def take_events(buffer: EventBuffer, data: bytes) -> bytes:
     """Append bytes and return all whole events, empty if there are none.
 
+    Raises ProtocolError if over ``MAX_EVENT_BYTES`` are pending and make no event.
+
     >>> buffer = EventBuffer()
     >>> take_events(buffer, b"id: 1\\n\\nid: 2")
     b'id: 1\\n\\n'
     >>> buffer.last_id, buffer.pending
     (1, b'id: 2')
     """
+    if len(buffer.pending) > MAX_EVENT_BYTES:
+        raise ProtocolError("an event is too large", step="body")
     pending = buffer.pending + data
     end = 0
     for match in EVENT_END.finditer(pending):
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -56,10 +56,10 @@
                 rest, self.buffer.pending = self.buffer.pending, b""
                 return rest or None
             chunk = await read_chunk(self.exchange, self.job)
+            return take_events(self.buffer, chunk or b"")
         except PulleyError as error:
             await self.resume_elsewhere(error)
             return b""
-        return take_events(self.buffer, chunk or b"")
 
     async def resume_elsewhere(self, error: PulleyError) -> None:
         """Continue the stream after the last whole event at another endpoint.
--- a/tests/direct/endless_answers.feature
+++ b/tests/direct/endless_answers.feature
@@ -34,7 +34,9 @@
 
     Examples:
       | bytes                  | most | result     |
+      | one event              | 16   | is refused |
       | an event after another | 16   | is cut     |
+      | comment lines          | 16   | is refused |
 
   # Guards against waits without a deadline: a few bytes now and then never stall.
   Scenario Outline: An order whose endpoint sends <bytes> slowly
