Break a stream off at an event whose id is too long

What callers saw: a stream that was cut, and not resumed, at an event whose id has thousands of digits; before its first event a 500 of the router. Cause: reading such an id raises a ValueError, which is not an error that a stream expects; nothing was recorded against the endpoint. Evidence: "A stream is resumed before an event whose id is too long" failed on the code before: ASSERT FAILED: Answer(status=200, ..., body=b'id: 1\ndata: a\n\n', whole=False) Change: an id of over 20 digits breaks the stream off. Why it works: the event is not passed on, so the stream can be resumed after the one before it.

--- a/packages/direct/src/pulley_direct/events.py
+++ b/packages/direct/src/pulley_direct/events.py
@@ -11,6 +11,8 @@
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 BLANK_OR_COMMENT_LINES = re.compile(rb"(?:(?::[^\n]*)?\r?\n)*")
 EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+# As many as an unsigned integer of 64 bits has.
+MAX_ID_DIGITS = 20
 
 
 @dataclass(slots=True)
@@ -29,7 +31,8 @@
 def take_events(buffer: EventBuffer, data: bytes) -> bytes:
     """Append bytes and return all whole events, empty if there are none.
 
-    Raises ProtocolError if over ``MAX_EVENT_BYTES`` are pending and make no event.
+    Raises ProtocolError if over ``MAX_EVENT_BYTES`` are pending and make no event, or
+    an id has over ``MAX_ID_DIGITS`` digits.
 
     >>> buffer = EventBuffer()
     >>> take_events(buffer, b"id: 1\\n\\nid: 2")
@@ -48,8 +51,10 @@
         end = match.end()
     whole = bytes(pending[:end])
     del pending[:end]
-    buffer.has_events = buffer.has_events or bool(whole)
     ids = EVENT_ID.findall(whole)
+    if any(len(one) > MAX_ID_DIGITS for one in ids):
+        raise ProtocolError("an event's id is too long", step="body")
+    buffer.has_events = buffer.has_events or bool(whole)
     if ids:
         buffer.last_id = int(ids[-1])
     return whole
