Cut a stream at its deadline without another attempt

What callers saw: nothing beyond the cut stream, but a second endpoint got the request with one millisecond left, a retry was taken from the budget, and the sound endpoint that was still sending went into backoff. Cause: a stream that had not ended by its deadline was handled like one that broke off, and resume_stream did not look at the deadline. Evidence: "A resumable stream that goes on past its deadline is cut, not resumed" failed on the code before: the second endpoint, raw-1, got 'last-event-id': '39', 'deadline-ms': '1' Change: no stream is resumed after its deadline. Why it works: the time of the last bytes tells a stream that is still going on from one that fell silent.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -41,7 +41,10 @@
 
 @dataclass(slots=True)
 class Exchange:
-    """An answer whose head was read, and the channel that its body arrives on."""
+    """An answer whose head was read, and the channel that its body arrives on.
+
+    ``last_read_ms`` is the clock reading at which its last bytes were read.
+    """
 
     router: Router
     endpoint: Endpoint
@@ -49,6 +52,7 @@
     status: int
     headers: Headers
     metadata: AnswerMetadata
+    last_read_ms: int
     finished: bool = False
 
 
@@ -147,18 +151,28 @@
         head, metadata = await read_matching_head(
             router, job, channel, request, endpoint
         )
-    except AnswerTimeout as error:
-        reason = Reason.STALLED if error.before_deadline else Reason.DEADLINE
-        raise AttemptFailed(reason, "no answer in time", endpoint) from error
     except PulleyError as error:
-        raise AttemptFailed(Reason.CONNECTION_LOST, str(error), endpoint) from error
+        raise AttemptFailed(failure_reason(error), str(error), endpoint) from error
     record_report(router.loads, endpoint.name, metadata.load)
     answer_headers = [(bytes(key), bytes(value)) for key, value in head.headers]
     return Exchange(
-        router, endpoint, channel, head.status_code, answer_headers, metadata
+        router=router,
+        endpoint=endpoint,
+        channel=channel,
+        status=head.status_code,
+        headers=answer_headers,
+        metadata=metadata,
+        last_read_ms=router.clock.now_ms(),
     )
 
 
+def failure_reason(error: PulleyError) -> Reason:
+    """Return why an attempt that reached its endpoint failed."""
+    if not isinstance(error, AnswerTimeout):
+        return Reason.CONNECTION_LOST
+    return Reason.STALLED if error.before_deadline else Reason.DEADLINE
+
+
 def build_request_headers(
     router: Router,
     job: Job,
@@ -294,6 +308,7 @@
         event = parse_event(connection, "body")
         if isinstance(event, h11.Data):
             chunks.append(bytes(event.data))
+            exchange.last_read_ms = exchange.router.clock.now_ms()
         elif chunks and event is h11.NEED_DATA:
             return b"".join(chunks)
         elif event is h11.NEED_DATA:
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -116,9 +116,9 @@
 ) -> Exchange | None:
     """Continue a broken stream at another endpoint, after ``last_event_id``.
 
-    Returns None if no attempt, retry or endpoint is left.
+    Returns None if no time, attempt, retry or endpoint is left.
     """
-    while has_attempts_left(job) and spend_retry(router, job, Reason.CONNECTION_LOST):
+    while may_resume(router, job) and spend_retry(router, job, Reason.CONNECTION_LOST):
         target = choose_target(router, job)
         if target is None:
             return None
@@ -129,6 +129,11 @@
     return None
 
 
+def may_resume(router: Router, job: Job) -> bool:
+    """Check whether a broken stream has time and attempts left."""
+    return job.deadline_ms > router.clock.now_ms() and has_attempts_left(job)
+
+
 async def start_resumed_exchange(
     router: Router, job: Job, target: Target, last_event_id: int | None
 ) -> Exchange:
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -6,11 +6,17 @@
 from pulley_base import ConnectionLost, PulleyError, Reason, log_event
 from pulley_http import Response, drop_hop_by_hop_headers
 
-from .attempts import Exchange, end_exchange, read_chunk, shows_its_end
+from .attempts import (
+    Exchange,
+    end_exchange,
+    failure_reason,
+    read_chunk,
+    shows_its_end,
+)
 from .events import EventBuffer, is_inside_event, take_events, take_rest
 from .jobs import AttemptFailed, Job
 from .loads import record_success
-from .outcomes import record_failed_attempt
+from .outcomes import MIN_SILENCE_MS, record_failed_attempt
 from .routers import Router
 
 logger = logging.getLogger(__name__)
@@ -65,11 +71,11 @@
 
         Raises ConnectionLost if the stream can't be resumed.
         """
-        endpoint = self.exchange.endpoint
-        end_exchange(self.exchange)
-        self.exchange = None
+        broken, self.exchange = self.exchange, None
+        endpoint = broken.endpoint
+        end_exchange(broken)
         self.job.may_have_run = True
-        record_failed_attempt(self.router, self.job, endpoint, Reason.CONNECTION_LOST)
+        record_broken_stream(broken, self.job, failure_reason(error))
         resumed = None
         if self.job.route.resumable:
             resumed = await self.resume(self.router, self.job, self.buffer.last_id)
@@ -98,6 +104,19 @@
             self.exchange = None
 
 
+def record_broken_stream(exchange: Exchange, job: Job, reason: Reason) -> None:
+    """Record a stream that broke off or did not end by its deadline.
+
+    An endpoint that still sent events at the deadline has not failed.
+    """
+    router = exchange.router
+    silent_ms = router.clock.now_ms() - exchange.last_read_ms
+    if reason is Reason.DEADLINE and silent_ms < MIN_SILENCE_MS:
+        router.counters.failures[reason] += 1
+    else:
+        record_failed_attempt(router, job, exchange.endpoint, reason)
+
+
 def check_end(exchange: Exchange, job: Job, buffer: EventBuffer) -> None:
     """Check that a streamed answer that was read to its end is complete.
 
--- /dev/null
+++ b/tests/direct/steps/stream_deadlines.py
@@ -0,0 +1,82 @@
+"""Steps with streams that have not ended at their deadline."""
+
+import asyncio
+
+from behave import then, when
+from raw_endpoints import RawAnswer, Script, add_raw_endpoints, encode_head
+from scenes import CHAT, ONCE, call, start_fixture
+
+from pulley_direct.loads import get_state
+
+TIMEOUT_MS = 1_200
+MAX_LATE_MS = 300
+EVENT_PERIOD_S = 0.03
+
+
+async def stream_without_end(request, writer):
+    """Send events until the router closes the connection."""
+    writer.write(encode_head(request))
+    number = int(request.headers.get("last-event-id", 0))
+    while not writer.is_closing():
+        number += 1
+        writer.write(b"id: %d\ndata: x\n\n" % number)
+        await writer.drain()
+        await asyncio.sleep(EVENT_PERIOD_S)
+
+
+async def fall_silent(request, writer):
+    """Send one event, then nothing."""
+    writer.write(encode_head(request) + b"id: 1\ndata: x\n\n")
+    await writer.drain()
+    await asyncio.Event().wait()
+
+
+def run_past_deadline(context, path: str, answer: RawAnswer) -> None:
+    """Call a route whose endpoints do not end their streams."""
+
+    async def run():
+        async with start_fixture(n_endpoints=0) as fixture:
+            script = Script([answer])
+            await add_raw_endpoints(fixture, "model", 2, script)
+            context.answer = await call(fixture, path, timeout_ms=TIMEOUT_MS)
+            context.requests = script.requests
+            first = script.requests[0].endpoint
+            context.state = get_state(fixture.router.loads, first)
+            context.counters = fixture.router.counters
+
+    asyncio.run(run())
+
+
+@when("a resumable stream still goes on at its deadline")
+def go_on_at_deadline(context):
+    run_past_deadline(context, CHAT, stream_without_end)
+
+
+@when("a stream that can't be resumed falls silent until its deadline")
+def fall_silent_until_deadline(context):
+    run_past_deadline(context, ONCE, fall_silent)
+
+
+@then("the caller's stream is cut at its deadline")
+def check_cut_at_deadline(context):
+    answer = context.answer
+    assert (answer.status, answer.whole) == (200, False), answer
+    assert answer.took_ms < TIMEOUT_MS + MAX_LATE_MS, answer.took_ms
+
+
+@then("only the first endpoint was asked, and no retry was spent")
+def check_one_request(context):
+    assert len(context.requests) == 1, context.requests
+    assert not context.counters.retries, context.counters.retries
+
+
+@then("the endpoint of that stream does not count as failing")
+def check_endpoint_sound(context):
+    assert context.state.n_failures == 0, context.state
+    assert context.state.record.bad == 0, context.state
+
+
+@then("the endpoint of that stream counts as failing")
+def check_endpoint_failing(context):
+    assert context.state.n_failures == 1, context.state
+    assert context.state.record.bad > 0, context.state
