Take an answer that is late at its deadline for late, not for lost

What callers saw: a 504 for "connection-lost" at their deadline, when the answer's head had come but not its body or first event. The endpoint went into backoff, also after a caller's very short timeout. Cause: only the wait for the head told a timeout from a lost connection; the waits for the body and for a stream's first event did not. Evidence: two scenarios of stream_deadlines.feature failed on the code before: ASSERT FAILED: Answer(status=504, ..., (b'pulley-reason', b'connection-lost')) Change: all waits of an attempt name their failure in the same way.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -324,7 +324,7 @@
 async def read_whole_body(exchange: Exchange, job: Job) -> bytes:
     """Read an answer's body to its end.
 
-    Raises AttemptFailed if the body is cut or larger than ``MAX_BODY_BYTES``.
+    Raises AttemptFailed if the body is cut, late or larger than ``MAX_BODY_BYTES``.
     """
     chunks = []
     n_bytes = 0
@@ -338,7 +338,7 @@
                 raise ConnectionLost("the answer is too large", step="body")
     except PulleyError as error:
         raise AttemptFailed(
-            Reason.CONNECTION_LOST, str(error), exchange.endpoint
+            failure_reason(error), str(error), exchange.endpoint
         ) from error
     return b"".join(chunks)
 
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -150,7 +150,7 @@
             check_end(exchange, job, stream.buffer)
     except PulleyError as error:
         raise AttemptFailed(
-            Reason.CONNECTION_LOST, str(error), exchange.endpoint
+            failure_reason(error), str(error), exchange.endpoint
         ) from error
     job.streaming = True
     headers = [
--- a/tests/direct/steps/stream_deadlines.py
+++ b/tests/direct/steps/stream_deadlines.py
@@ -4,12 +4,15 @@
 
 from behave import then, when
 from raw_endpoints import RawAnswer, Script, add_raw_endpoints, encode_head
-from scenes import CHAT, ONCE, call, start_fixture
+from scenes import CHAT, ONCE, ORDER, call, start_fixture
 
 from pulley_direct.loads import get_state
 
 TIMEOUT_MS = 1_200
 MAX_LATE_MS = 300
+# Shorter than the time after which a missed deadline counts.
+SHORT_TIMEOUT_MS = 400
+KINDS = {"an order": (ORDER, "shop"), "a stream": (ONCE, "model")}
 EVENT_PERIOD_S = 0.03
 
 
@@ -31,14 +34,20 @@
     await asyncio.Event().wait()
 
 
-def run_past_deadline(context, path: str, answer: RawAnswer) -> None:
-    """Call a route whose endpoints do not end their streams."""
+def run_past_deadline(
+    context,
+    path: str,
+    answer: RawAnswer,
+    service: str = "model",
+    timeout_ms: int = TIMEOUT_MS,
+) -> None:
+    """Call a route whose endpoints do not end their answers in time."""
 
     async def run():
         async with start_fixture(n_endpoints=0) as fixture:
             script = Script([answer])
-            await add_raw_endpoints(fixture, "model", 2, script)
-            context.answer = await call(fixture, path, timeout_ms=TIMEOUT_MS)
+            await add_raw_endpoints(fixture, service, 2, script)
+            context.answer = await call(fixture, path, timeout_ms=timeout_ms)
             context.requests = script.requests
             first = script.requests[0].endpoint
             context.state = get_state(fixture.router.loads, first)
@@ -80,3 +89,28 @@
 def check_endpoint_failing(context):
     assert context.state.n_failures == 1, context.state
     assert context.state.record.bad > 0, context.state
+
+
+async def send_head_only(request, writer):
+    """Send the head of an answer, then nothing."""
+    writer.write(encode_head(request))
+    await writer.drain()
+    await asyncio.Event().wait()
+
+
+@when("{kind} has begun but is not there at a short deadline")
+def begin_before_short_deadline(context, kind):
+    path, service = KINDS[kind]
+    run_past_deadline(context, path, send_head_only, service, SHORT_TIMEOUT_MS)
+
+
+@then('its caller gets a {status:d} for "{reason}"')
+def check_status_and_reason(context, status, reason):
+    found = (context.answer.status, context.answer.header("pulley-reason"))
+    assert found == (status, reason), context.answer
+
+
+@then("its endpoint is late, but not in backoff")
+def check_no_backoff(context):
+    assert context.state.record.bad == 1, context.state
+    assert context.state.n_failures == 0, context.state
--- a/tests/direct/stream_deadlines.feature
+++ b/tests/direct/stream_deadlines.feature
@@ -13,3 +13,14 @@
     When a stream that can't be resumed falls silent until its deadline
     Then the caller's stream is cut at its deadline
     And the endpoint of that stream counts as failing
+
+  # Guards against a sound endpoint that is blamed for a caller's short timeout.
+  Scenario Outline: <kind> that has begun but is not there at a short deadline
+    When <kind> has begun but is not there at a short deadline
+    Then its caller gets a 504 for "deadline"
+    And its endpoint is late, but not in backoff
+
+    Examples:
+      | kind     |
+      | an order |
+      | a stream |
