Limit what a client reads of a response without end

What callers saw: nothing; a process that fetched from such a server, a router from the store for one, kept all bytes until the fetch timed out and called again. Cause: fetch bounded the time of a response but neither the size of its body nor the number of informational responses before it. Evidence: three scenarios of endless_responses.feature failed on the code before: ASSERT FAILED: fetch 127.0.0.1:45255: no answer in time Change: a fetch fails above a body of 64 MiB, and each request after 16 informational responses. Why it works: a page of the store has about 1 MB, so no sound response comes near these bounds.

--- a/packages/http/src/pulley_http/clients.py
+++ b/packages/http/src/pulley_http/clients.py
@@ -17,9 +17,13 @@
     read_more,
     write_bytes,
 )
-from .models import Headers, Response, find_header, read_all
+from .models import Headers, Response, find_header
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+# Far more than a sound server sends before a response.
+MAX_INFORMATIONAL_RESPONSES = 16
+# Many pages of a store, and a small part of a process's memory.
+MAX_FETCHED_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(slots=True)
@@ -105,11 +109,7 @@
         encoded_head = encode_head(connection, method, target, headers, body)
         await send_message(connection, encoded_head, body)
         step = "head"
-        head = await next_event(connection, step)
-        while isinstance(head, h11.InformationalResponse):
-            head = await next_event(connection, step)
-        if not isinstance(head, h11.Response):
-            raise ConnectionLost("closed early", step=step, peer=connection.peer)
+        head = await read_final_head(connection, step)
     except h11.LocalProtocolError as error:
         connection.close()
         raise ProtocolError(str(error), step=step, peer=connection.peer) from error
@@ -123,6 +123,22 @@
     return Response(head.status_code, response_headers, read_body(client, connection))
 
 
+async def read_final_head(connection: ClientConnection, step: str) -> h11.Response:
+    """Read a response's head, and skip the informational ones before it.
+
+    Raises ConnectionLost after ``MAX_INFORMATIONAL_RESPONSES`` of them.
+    """
+    for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+        head = await next_event(connection, step)
+        if isinstance(head, h11.Response):
+            return head
+        if not isinstance(head, h11.InformationalResponse):
+            raise ConnectionLost("closed early", step=step, peer=connection.peer)
+    raise ConnectionLost(
+        "too many informational responses", step=step, peer=connection.peer
+    )
+
+
 def encode_head(connection, method, target, headers, body) -> bytes:
     """Return the request line and headers as bytes.
 
@@ -215,8 +231,9 @@
 ) -> Response:
     """Send a request and return its response with the whole body as bytes.
 
-    Raises the errors of ``send_request``, and TimedOut with the step ``fetch``
-    if the body has not arrived in full within ``timeout_ms``.
+    Raises the errors of ``send_request``, TimedOut with the step ``fetch`` if the
+    body has not arrived in full within ``timeout_ms``, and ConnectionLost if it is
+    larger than ``MAX_FETCHED_BYTES``.
     """
     try:
         async with asyncio.timeout(to_seconds(timeout_ms)):
@@ -224,12 +241,22 @@
                 client, peer, method, target, headers=headers, body=body
             )
             async with aclosing(response.body) as pieces:
-                response.body = await read_all(pieces)
+                response.body = await read_limited(pieces, peer)
     except TimeoutError as error:
         raise TimedOut("no answer in time", step="fetch", peer=peer) from error
     return response
 
 
+async def read_limited(pieces: AsyncIterator[bytes], peer: str) -> bytes:
+    """Return the whole body; raise ConnectionLost above ``MAX_FETCHED_BYTES``."""
+    body = bytearray()
+    async for piece in pieces:
+        body += piece
+        if len(body) > MAX_FETCHED_BYTES:
+            raise ConnectionLost("the body is too large", step="body", peer=peer)
+    return bytes(body)
+
+
 def close_client(client: Client):
     """Close every pooled connection."""
     for idle_connections in client.idle.values():
