Give other tasks a turn while many small chunks are parsed

What callers saw: a router that stood still for most of a second, again and again, for all its callers: one endpoint sent chunks of a byte without end. Cause: all bytes that had arrived, up to half a megabyte, were parsed without giving the event loop a turn. At a byte a chunk that is about 90,000 parser events. Why it works: 256 pieces take about 3 ms; an answer of a sound endpoint rarely has that many waiting.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -1,5 +1,6 @@
 """One attempt: send a request to one endpoint and read the head of its answer."""
 
+import asyncio
 import logging
 from dataclasses import dataclass
 
@@ -31,6 +32,9 @@
 # Informational answers, and those to earlier requests, that may come before the
 # expected one: far more than a sound endpoint sends.
 MAX_SKIPPED_ANSWERS = 16
+# Pieces of a body that are parsed before other tasks get a turn: some milliseconds
+# of work if an endpoint sends very small chunks.
+MAX_PIECES_PER_TURN = 256
 MISDIRECTED_STATUS = 421
 NO_CONTENT_STATUS = 204
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
@@ -270,13 +274,16 @@
     """
     connection = channel.connection
     peer = channel.address
-    n_bytes = 0
+    n_bytes = n_pieces = 0
     while n_bytes <= MAX_BODY_BYTES:
         event = parse_event(connection, "body")
         if event is h11.NEED_DATA:
             await wait_for_bytes(router, job, endpoint, connection)
         elif isinstance(event, h11.Data):
             n_bytes += len(event.data)
+            n_pieces += 1
+            if n_pieces % MAX_PIECES_PER_TURN == 0:
+                await asyncio.sleep(0)
         elif isinstance(event, h11.EndOfMessage):
             return
         else:
@@ -299,6 +306,7 @@
 async def read_chunk(exchange: Exchange, job: Job) -> bytes | None:
     """Return the bytes of the body that are available, None at its end.
 
+    After ``MAX_PIECES_PER_TURN`` pieces other tasks get a turn.
     Raises ConnectionLost if the body is cut, AnswerTimeout if no bytes arrived in
     time.
     """
@@ -309,6 +317,9 @@
         if isinstance(event, h11.Data):
             chunks.append(bytes(event.data))
             exchange.last_read_ms = exchange.router.clock.now_ms()
+            if len(chunks) == MAX_PIECES_PER_TURN:
+                await asyncio.sleep(0)
+                return b"".join(chunks)
         elif chunks and event is h11.NEED_DATA:
             return b"".join(chunks)
         elif event is h11.NEED_DATA:
--- a/tests/direct/endless_answers.feature
+++ b/tests/direct/endless_answers.feature
@@ -64,3 +64,15 @@
   Scenario: A large event in small pieces is passed on
     When an event of 512 KiB comes in pieces of 64 bytes
     Then taking it out takes less than half a second
+
+  # Guards against a router that stands still while it parses what one endpoint sent.
+  Scenario Outline: <kind> whose endpoint sends tiny chunks without end
+    When <kind> gets tiny chunks without end from its endpoint
+    Then the router gave other work a turn every 100 ms
+    And the endpoint that sent without end counts as failing
+
+    Examples:
+      | kind                       |
+      | an order                   |
+      | a stream                   |
+      | an answer to another order |
--- a/tests/direct/steps/endless_answers.py
+++ b/tests/direct/steps/endless_answers.py
@@ -32,10 +32,18 @@
 EVENT_BYTES = 512 * 1024
 EVENT_PIECE_BYTES = 64
 MAX_EVENT_S = 0.5
+MAX_TURN_S = 0.1
+# Enough to fill the router's buffer at once.
+N_BUFFERED_PIECES = 32
 
 CHUNKED = "transfer-encoding: chunked"
 INFORMATIONAL = b"HTTP/1.1 103 x\r\nx: y\r\n\r\n"
 OTHER_ANSWER = encode_framed(RawRequest("", {"attempt-id": "other"}), "a length", b"no")
+TINY_CHUNK_CASES = {
+    "an order": (ORDER, "shop", None),
+    "a stream": (ONCE, "model", None),
+    "an answer to another order": (ORDER, "shop", "other"),
+}
 FIRST_EVENT = b"id: 1\ndata: token 1\n\n"
 
 
@@ -194,6 +202,36 @@
     assert b"".join(taken) == event
 
 
+@when("{kind} gets tiny chunks without end from its endpoint")
+def send_tiny_chunks(context, kind):
+    path, service, request_id = TINY_CHUNK_CASES[kind]
+
+    async def answer(request, writer):
+        named = RawRequest("", {"attempt-id": request_id or request.request_id})
+        writer.write(start_chunks(named))
+        piece = repeat(encode_chunk(b"y")) * N_BUFFERED_PIECES
+        await write_without_end(Script([]), writer, piece, 0)
+
+    async def run():
+        async with start_fixture(n_endpoints=0) as fixture:
+            await add_raw_endpoints(fixture, service, 1, Script([answer]))
+            task = asyncio.create_task(call(fixture, path, timeout_ms=TIMEOUT_MS))
+            context.longest_turn_s = await measure_longest_turn(task)
+            context.state = get_state(fixture.router.loads, "raw-0")
+
+    asyncio.run(run())
+
+
+async def measure_longest_turn(task: asyncio.Task) -> float:
+    """Return the most processor time between two turns of the event loop, in s."""
+    longest_s = 0.0
+    while not task.done():
+        started_s = time.process_time()
+        await asyncio.sleep(0)
+        longest_s = max(longest_s, time.process_time() - started_s)
+    return longest_s
+
+
 @then('the caller gets a {status:d} with the outcome "{outcome}" in time')
 def check_outcome_in_time(context, status, outcome):
     answer = context.answer
@@ -235,3 +273,8 @@
 @then("taking it out takes less than half a second")
 def check_event_time(context):
     assert context.took_s < MAX_EVENT_S, context.took_s
+
+
+@then("the router gave other work a turn every 100 ms")
+def check_longest_turn(context):
+    assert context.longest_turn_s < MAX_TURN_S, context.longest_turn_s
