--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -1,5 +1,6 @@
 """One attempt: send a request to one endpoint and read the head of its answer."""
 
+import asyncio
 import logging
 from dataclasses import dataclass
 
@@ -12,10 +13,7 @@
     log_event,
 )
 from pulley_http import Headers
-from pulley_http.connections import (
-    next_event,
-    parse_event,
-)
+from pulley_http.connections import parse_event
 
 from .budgets import count_routers
 from .channels import (
@@ -38,7 +36,15 @@
 # Larger than any answer that is buffered whole, and a small part of a router's
 # memory.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Informational answers, and those to earlier requests, that may come before the
+# expected one: far more than a sound endpoint sends.
+MAX_SKIPPED_ANSWERS = 16
+# Pieces of a body that are parsed before other tasks get a turn: some milliseconds
+# of work if an endpoint sends very small chunks.
+MAX_PIECES_PER_TURN = 256
 MISDIRECTED_STATUS = 421
+NO_CONTENT_STATUS = 204
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Endpoints reset connections over their limit; the rest is for routers that are just
 # starting or stopping, which also hold connections.
 CHANNEL_LIMIT_SHARE = 0.9
@@ -46,7 +52,10 @@
 
 @dataclass(slots=True)
 class Exchange:
-    """An answer whose head was read, and the channel that its body arrives on."""
+    """An answer whose head was read, and the channel that its body arrives on.
+
+    ``last_read_ms`` is the clock reading at which its last bytes were read.
+    """
 
     router: Router
     endpoint: Endpoint
@@ -54,6 +63,7 @@
     status: int
     headers: Headers
     metadata: AnswerMetadata
+    last_read_ms: int
     finished: bool = False
 
 
@@ -158,18 +168,28 @@
         head, metadata = await read_matching_head(
             router, job, channel, request, endpoint
         )
-    except AnswerTimeout as error:
-        reason = Reason.STALLED if error.before_deadline else Reason.DEADLINE
-        raise AttemptFailed(reason, "no answer in time", endpoint) from error
     except PulleyError as error:
-        raise AttemptFailed(Reason.CONNECTION_LOST, str(error), endpoint) from error
+        raise AttemptFailed(failure_reason(error), str(error), endpoint) from error
     record_report(router.loads, endpoint.name, metadata.load)
     answer_headers = [(bytes(key), bytes(value)) for key, value in head.headers]
     return Exchange(
-        router, endpoint, channel, head.status_code, answer_headers, metadata
+        router=router,
+        endpoint=endpoint,
+        channel=channel,
+        status=head.status_code,
+        headers=answer_headers,
+        metadata=metadata,
+        last_read_ms=router.clock.now_ms(),
     )
 
 
+def failure_reason(error: PulleyError) -> Reason:
+    """Return why an attempt that reached its endpoint failed."""
+    if not isinstance(error, AnswerTimeout):
+        return Reason.CONNECTION_LOST
+    return Reason.STALLED if error.before_deadline else Reason.DEADLINE
+
+
 def build_request_headers(
     router: Router,
     job: Job,
@@ -211,18 +231,12 @@
     """Read answers until one belongs to this request.
 
     An endpoint may repeat its answer to an earlier request before it sends the
-    expected one.
+    expected one. Raises ConnectionLost after ``MAX_SKIPPED_ANSWERS`` others.
     """
-    connection = channel.connection
-    while True:
-        head = parse_event(connection, "head")
-        if head is h11.NEED_DATA:
-            await wait_for_bytes(router, job, endpoint, connection)
-            continue
+    for _ in range(MAX_SKIPPED_ANSWERS + 1):
+        head = await read_head(router, job, channel, endpoint)
         if isinstance(head, h11.InformationalResponse):
             continue
-        if not isinstance(head, h11.Response):
-            raise ConnectionLost("closed early", step="head", peer=channel.address)
         metadata = router.header_codec.read_answer(head.headers)
         if is_answer_to_job(job, head.status_code, metadata):
             return head, metadata
@@ -234,8 +248,23 @@
             answer_to=metadata.request_id,
         )
         router.counters.failures[Reason.FOREIGN_ANSWER] += 1
-        await discard_answer(channel)
+        await discard_answer(router, job, channel, endpoint)
         restart_parser(channel, request, job.body)
+    raise ConnectionLost("too many other answers", step="head", peer=channel.address)
+
+
+async def read_head(
+    router: Router, job: Job, channel: Channel, endpoint: Endpoint
+) -> h11.Response | h11.InformationalResponse:
+    """Read the next head on a channel, also that of an informational answer."""
+    connection = channel.connection
+    head = parse_event(connection, "head")
+    while head is h11.NEED_DATA:
+        await wait_for_bytes(router, job, endpoint, connection)
+        head = parse_event(connection, "head")
+    if not isinstance(head, h11.Response | h11.InformationalResponse):
+        raise ConnectionLost("closed early", step="head", peer=channel.address)
+    return head
 
 
 def is_answer_to_job(job: Job, status: int, metadata: AnswerMetadata) -> bool:
@@ -248,11 +277,31 @@
     return metadata.request_id == job.call.request_id
 
 
-async def discard_answer(channel: Channel) -> None:
-    """Read an answer to its end and discard it."""
-    event = None
-    while not isinstance(event, h11.EndOfMessage):
-        event = await next_event(channel.connection, "body")
+async def discard_answer(
+    router: Router, job: Job, channel: Channel, endpoint: Endpoint
+) -> None:
+    """Read an answer to its end and discard it.
+
+    Raises ConnectionLost if it is cut or larger than ``MAX_BODY_BYTES``, and
+    AnswerTimeout if it has no end in time.
+    """
+    connection = channel.connection
+    peer = channel.address
+    n_bytes = n_pieces = 0
+    while n_bytes <= MAX_BODY_BYTES:
+        event = parse_event(connection, "body")
+        if event is h11.NEED_DATA:
+            await wait_for_bytes(router, job, endpoint, connection)
+        elif isinstance(event, h11.Data):
+            n_bytes += len(event.data)
+            n_pieces += 1
+            if n_pieces % MAX_PIECES_PER_TURN == 0:
+                await asyncio.sleep(0)
+        elif isinstance(event, h11.EndOfMessage):
+            return
+        else:
+            raise ConnectionLost("closed in mid-answer", step="body", peer=peer)
+    raise ConnectionLost("a foreign answer is too large", step="body", peer=peer)
 
 
 def restart_parser(channel: Channel, request: h11.Request, body: bytes) -> None:
@@ -270,6 +319,7 @@
 async def read_chunk(exchange: Exchange, job: Job) -> bytes | None:
     """Return the bytes of the body that are available, None at its end.
 
+    After ``MAX_PIECES_PER_TURN`` pieces other tasks get a turn.
     Raises ConnectionLost if the body is cut, AnswerTimeout if no bytes arrived in
     time.
     """
@@ -279,6 +329,10 @@
         event = parse_event(connection, "body")
         if isinstance(event, h11.Data):
             chunks.append(bytes(event.data))
+            exchange.last_read_ms = exchange.router.clock.now_ms()
+            if len(chunks) == MAX_PIECES_PER_TURN:
+                await asyncio.sleep(0)
+                return b"".join(chunks)
         elif chunks and event is h11.NEED_DATA:
             return b"".join(chunks)
         elif event is h11.NEED_DATA:
@@ -294,7 +348,7 @@
 async def read_whole_body(exchange: Exchange, job: Job) -> bytes:
     """Read an answer's body to its end.
 
-    Raises AttemptFailed if the body is cut or larger than ``MAX_BODY_BYTES``.
+    Raises AttemptFailed if the body is cut, late or larger than ``MAX_BODY_BYTES``.
     """
     chunks = []
     n_bytes = 0
@@ -308,11 +362,22 @@
                 raise ConnectionLost("the answer is too large", step="body")
     except PulleyError as error:
         raise AttemptFailed(
-            Reason.CONNECTION_LOST, str(error), exchange.endpoint
+            failure_reason(error), str(error), exchange.endpoint
         ) from error
     return b"".join(chunks)
 
 
+def shows_its_end(exchange: Exchange, job: Job) -> bool:
+    """Check whether an answer says itself where it ends.
+
+    One with neither a length nor chunks ends with its connection, as does one that
+    its endpoint broke off.
+    """
+    if job.call.method == "HEAD" or exchange.status == NO_CONTENT_STATUS:
+        return True
+    return any(name.lower() in FRAMING_HEADERS for name, _value in exchange.headers)
+
+
 def end_exchange(exchange: Exchange) -> None:
     """Release the channel of a finished exchange, close that of an incomplete one."""
     state = get_state(exchange.router.loads, exchange.endpoint.name)
--- a/tests/direct/steps/bodies.py
+++ b/tests/direct/steps/bodies.py
@@ -4,8 +4,8 @@
 import socket
 
 from behave import then, when
-from raw_endpoints import answer_head, list_raw_endpoint
 from scenes import ONCE, ORDER, call, start_fixture, wait_until_synced
+from timed_endpoints import answer_head, list_raw_endpoint
 
 BODY_BYTES = 6 * 1024 * 1024
 RECEIVE_BUFFER_BYTES = 4_096
--- a/tests/direct/steps/stalls.py
+++ b/tests/direct/steps/stalls.py
@@ -5,7 +5,6 @@
 from unittest.mock import patch
 
 from behave import then, when
-from raw_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 from scenes import (
     LOOKUP,
     ONCE,
@@ -15,6 +14,7 @@
     start_fixture,
     wait_until_synced,
 )
+from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 
 from pulley_direct import channels
 from pulley_direct.loads import get_state
