Drop a content length that stands beside a transfer encoding

Callers saw: a cut answer though the endpoint had sent all of it.

Cause: an answer in chunks is read by its chunks, but the content length that the endpoint sent beside them was passed on. If they differ, the answer can't be sent.

Change: such a length is dropped with the headers of one hop, as HTTP/1.1 demands.

Evidence: both scenarios of tests/direct/framings failed before (status 200 and a body of 0 of 4 bytes; 500 after the check of the length) and pass now.

--- a/packages/http/src/pulley_http/models.py
+++ b/packages/http/src/pulley_http/models.py
@@ -77,10 +77,13 @@
 def drop_hop_by_hop_headers(headers: Headers) -> Headers:
     """Return the headers without the hop-by-hop ones.
 
-    Also drops those that the ``connection`` header names.
+    Also drops those that the ``connection`` header names, and a content length beside
+    a transfer encoding, which overrides it.
     """
     named = find_header(headers, b"connection") or b""
     dropped = HOP_BY_HOP | {part.strip().lower() for part in named.split(b",")}
+    if find_header(headers, b"transfer-encoding") is not None:
+        dropped |= {b"content-length"}
     return [(key, value) for key, value in headers if key.lower() not in dropped]
 
 
