Give up a silent stream only once another endpoint has taken it over

Callers saw: an answer that was cut after 1.3 s of silence, or after 250 ms once another request could not connect, though the endpoint was still at work.

Cause: an attempt given up for its silence was closed before another endpoint had accepted the rest of the stream. If that one was full, or no retry was left, the caller's answer was cut. Class: a silence that is taken for a failure.

Change: the exchange of a silent endpoint ends when the other endpoint has answered; otherwise the router waits on at the first one. The old exchange ends at the head of the new answer, so both work on it no longer than the head takes to arrive.

Evidence: both scenarios of tests/direct/silences failed before (cut at 1,364 and 309 ms with one of five events) and pass now. Suite direct: 114 scenarios passed.

--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -16,8 +16,10 @@
 from .events import EventBuffer, is_inside_event, take_events, take_rest
 from .jobs import AttemptFailed, Job
 from .loads import record_success
+from .models import Endpoint
 from .outcomes import MIN_SILENCE_MS, record_failed_attempt
 from .routers import Router
+from .waits import AnswerTimeout
 
 logger = logging.getLogger(__name__)
 
@@ -62,20 +64,52 @@
                 return take_rest(self.buffer) or None
             chunk = await read_chunk(self.exchange, self.job)
             return take_events(self.buffer, chunk or b"")
+        except AnswerTimeout as error:
+            if error.before_deadline:
+                await self.replace_silent(error)
+            else:
+                await self.replace_broken(error)
         except PulleyError as error:
-            await self.resume_elsewhere(error)
-            return b""
+            await self.replace_broken(error)
+        return b""
 
-    async def resume_elsewhere(self, error: PulleyError) -> None:
-        """Continue the stream after the last whole event at another endpoint.
+    async def replace_silent(self, error: AnswerTimeout) -> None:
+        """Continue the stream elsewhere, or wait on if no endpoint takes it over.
 
-        Raises ConnectionLost if the stream can't be resumed.
+        The endpoint may still be at work, so its exchange ends only once another
+        endpoint has answered.
+        """
+        silent = self.exchange
+        record_broken_stream(silent, self.job, failure_reason(error))
+        resumed = await self.resume_elsewhere(silent.endpoint, error)
+        if resumed is None:
+            return
+        end_exchange(silent)
+        self.continue_at(resumed)
+
+    async def replace_broken(self, error: PulleyError) -> None:
+        """Continue the stream elsewhere.
+
+        Raises ConnectionLost if it can't be resumed.
         """
         broken, self.exchange = self.exchange, None
-        endpoint = broken.endpoint
         end_exchange(broken)
-        self.job.may_have_run = True
         record_broken_stream(broken, self.job, failure_reason(error))
+        resumed = await self.resume_elsewhere(broken.endpoint, error)
+        if resumed is None:
+            raise ConnectionLost(
+                "the stream broke off and could not be resumed", step="body"
+            ) from error
+        self.continue_at(resumed)
+
+    async def resume_elsewhere(
+        self, endpoint: Endpoint, error: PulleyError
+    ) -> Exchange | None:
+        """Resume the stream after its last whole event, at another endpoint.
+
+        Returns None if it can't be resumed.
+        """
+        self.job.may_have_run = True
         resumed = None
         if self.job.route.resumable:
             resumed = await self.resume(self.router, self.job, self.buffer.last_id)
@@ -87,12 +121,13 @@
             detail=str(error),
             last_event_id=self.buffer.last_id,
             resumed_at=None if resumed is None else resumed.endpoint.name,
+            kept=resumed is None and self.exchange is not None,
         )
-        if resumed is None:
-            raise ConnectionLost(
-                "the stream broke off and could not be resumed", step="body"
-            ) from error
-        self.exchange = resumed
+        return resumed
+
+    def continue_at(self, exchange: Exchange) -> None:
+        """Read on from a resumed stream."""
+        self.exchange = exchange
         self.buffer = EventBuffer(last_id=self.buffer.last_id)
 
     async def aclose(self) -> None:
--- a/tests/direct/steps/foreign.py
+++ b/tests/direct/steps/foreign.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from behave import then, when
-from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 from scenes import ORDER, call, start_fixture, wait_until_synced
+from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 
 TIMEOUT_MS = 600
 MAX_TOOK_MS = 1_100
--- a/tests/direct/steps/framings.py
+++ b/tests/direct/steps/framings.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from behave import then, when
-from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 from scenes import ORDER, call, start_fixture, wait_until_synced
+from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 
 LENGTHS = {"too short": 2, "too long": 9}
 BODY = b"done"
--- a/tests/direct/steps/unframed.py
+++ b/tests/direct/steps/unframed.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from behave import then, when
-from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 from scenes import ONCE, call, start_fixture, wait_until_synced
+from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 
 EVENT = b"id: 1\ndata: a\n\n"
 PART_OF_EVENT = b"id: 2\nda"
