--- a/tests/direct/steps/scenes.py
+++ b/tests/direct/steps/scenes.py
@@ -208,3 +208,13 @@
         pass
     answer.took_ms = (loop.time() - started) * 1_000
     return answer
+
+
+def find_endpoints(fixture: RouterFixture, service: str) -> list[StandInEndpoint]:
+    """Return the fixture's endpoints of a service."""
+    return [one for one in fixture.endpoints if one.service == service]
+
+
+def total_runs(fixture: RouterFixture) -> int:
+    """Return how often the fixture's endpoints ran a request."""
+    return sum(one.runs.total() for one in fixture.endpoints)
