Split the steps of the adapter suite by subject

Cause: one steps module of 496 lines held four subjects: decoding, calls of the store, runs of the program and signals at its start.

Change: steps/adapter.py becomes documents.py, store_calls.py, runs.py and starts.py, with the sample documents in samples.py and the program's start in programs.py.

--- /dev/null
+++ b/tests/adapter/steps/programs.py
@@ -0,0 +1,33 @@
+"""The router's program: its settings file and its process."""
+
+import os
+import subprocess
+import sys
+
+EXIT_TIMEOUT_S = 15
+SETTINGS = """
+node = "router-1"
+zone = "here"
+ip = "127.0.0.1"
+portRange = [{low}, {high}]
+[listen]
+front = "{front}"
+readyAddr = "{ready}"
+[platform]
+address = "{store}"
+[bounds]
+graceS = 8
+revokeMs = 5000
+"""
+
+
+def start_program(path, *, python=sys.executable):
+    """Start the router's program with a settings file."""
+    environment = os.environ | {"PLANTAINPULLEY_BOOT": str(path)}
+    return subprocess.Popen(
+        [python, "-m", "pulley_adapter"],
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
