Split tools/capacity.py by job

Change: target_fleet.py holds the sizes and budgets, capacity_rows.py the row and the measurements, process_rows.py and store_rows.py the rows, capacity.py the table and the page.

--- a/tests/operators/steps/pages.py
+++ b/tests/operators/steps/pages.py
@@ -13,13 +13,8 @@
 ROOT = Path(__file__).resolve().parents[3]
 sys.path.insert(0, str(ROOT / "tools"))
 
-from capacity import (  # noqa: E402
-    MEASUREMENTS,
-    PAGE,
-    make_table,
-    read_slopes,
-    split_page,
-)
+from capacity import PAGE, make_table, split_page  # noqa: E402
+from capacity_rows import MEASUREMENTS, read_slopes  # noqa: E402
 
 OPERATIONS = ROOT / "docs" / "OPERATIONS.md"
 PRODUCTS = (
