--- a/tools/cases/faults.py
+++ b/tools/cases/faults.py
@@ -19,50 +19,37 @@
 """
 
 import asyncio
-import signal
-import time
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
 from random import Random
 
-from callers import Answer, Chat, ask, complete_chat, look_up, make_text, post_once
-from fleets import Endpoint, Fleet, publish_list, read_json, run_fleet, start_agent
+from fault_callers import (
+    CHATS_PER_S,
+    LOOKUPS_PER_S,
+    ORDERS_PER_S,
+    Bench,
+    Order,
+    SentRequest,
+    send_at_random,
+    send_chat,
+    send_lookup,
+    send_order,
+    wait_for_callers,
+)
+from fleets import Fleet, publish_list, read_json, run_fleet
+from injections import FAULT_FREE_S, PLACE, POISON, drive_faults, find_endpoints
 from plans import CARUSO_RULES, FleetPlan, ServicePlan
 from plots import make_table
-from processes import Process, end_process
-from progress import show_progress
 from results import CaseResult, Target
 
-from pulley_standins.relays import Relay, open_relay, relay_address, silence_connections
-from pulley_standins.stores import set_faults
-from pulley_standins.texts import (
-    answer_seed,
-    answer_tokens,
-    natural_length_tokens,
-    render_prompt,
-)
+from pulley_standins.relays import Relay, open_relay, relay_address
 
-PLACE = "caltagirone"
-TEAM = "ferramenta"
-POISON = "poisonous"
 N_ENGINES = 5
 N_SERVICES = 4
 N_ROUTERS = 3
-ORDERS_PER_S = 20
-CHATS_PER_S = 8
-LOOKUPS_PER_S = 10
-N_LOOKUPS = 1_000
-FAULT_FREE_S = 1.0
-PAUSE_DURATION_S = 3.5
 OUTAGE_DURATION_S = 5.0
 LONG_OUTAGE_DURATION_S = 30.0
-N_LOST_REPLIES = 20
-N_POISON_SENDS = 4
-MAX_SENDS = 4
-RESEND_DELAY_S = 0.5
-MAX_CALLER_WAIT_S = 6.0
 COLUMN_HEADINGS = (
     "fault",
     "requests",
@@ -76,45 +63,6 @@
 )
 
 
-@dataclass(slots=True)
-class SentRequest:
-    """One request of a caller, when and in which phase it was sent, and its answer.
-
-    ``is_correct`` is False for a complete answer with the wrong content.
-    """
-
-    phase: str
-    kind: str
-    sent_s: float
-    router: Process
-    answer: Answer
-    is_correct: bool = True
-
-
-@dataclass(slots=True)
-class Order:
-    """One order: its idempotency key and the answers to all its requests."""
-
-    key: str
-    phase: str
-    answers: list[Answer] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class Bench:
-    """The fleet, its relays and callers, and all requests with their answers."""
-
-    fleet: Fleet
-    random: Random
-    relays: list[Relay]
-    phase: str = "calm"
-    phase_start_s: dict[str, float] = field(default_factory=dict)
-    sent: list[SentRequest] = field(default_factory=list)
-    orders: list[Order] = field(default_factory=list)
-    killed: set[Process] = field(default_factory=set)
-    tasks: set[asyncio.Task] = field(default_factory=set)
-
-
 async def run(seed: int, long: bool) -> CaseResult:
     """Inject each fault in turn into one fleet under load."""
     async with run_fleet(make_plan()) as fleet:
@@ -166,194 +114,6 @@
             relay.listener.close()
 
 
-def find_endpoints(fleet: Fleet, service: str) -> list[Endpoint]:
-    """Return the endpoints of one service."""
-    return [each for each in fleet.endpoints if each.service == service]
-
-
-async def send_at_random(
-    bench: Bench, rate_per_s: float, send: Callable[[Bench], Awaitable[None]]
-) -> None:
-    """Start callers at random intervals, at a mean rate, until cancelled."""
-    while True:
-        await asyncio.sleep(bench.random.expovariate(rate_per_s))
-        task = asyncio.create_task(send(bench))
-        bench.tasks.add(task)
-        task.add_done_callback(bench.tasks.discard)
-
-
-def pick_router(bench: Bench, excluded: Process | None = None) -> Process:
-    """Return a random router of the balancer, other than ``excluded``."""
-    return bench.random.choice(
-        [each for each in bench.fleet.routers if each is not excluded]
-    )
-
-
-async def send_order(bench: Bench) -> None:
-    """Send an order up to 4 times, with the same key, until it is answered."""
-    key = f"order-{bench.random.getrandbits(64):016x}"
-    order = Order(key, bench.phase)
-    bench.orders.append(order)
-    router = None
-    for _attempt in range(MAX_SENDS):
-        router = pick_router(bench, router)
-        sent = record_request(bench, "order", router)
-        sent.answer = await post_once(
-            bench.fleet.client,
-            router.address,
-            "/bottega/handles",
-            TEAM,
-            key,
-            {"order": key},
-        )
-        order.answers.append(sent.answer)
-        if sent.answer.complete:
-            sent.is_correct = f'"key":"{key}"'.encode() in sent.answer.body
-            return
-        await asyncio.sleep(RESEND_DELAY_S)
-
-
-async def send_chat(bench: Bench) -> None:
-    """Send the first turn of a new chat and check the answer."""
-    chat = Chat(f"chat-{bench.random.getrandbits(64):016x}", TEAM)
-    ask(chat, make_text(bench.random, 20))
-    seed = answer_seed(render_prompt(chat.messages))
-    router = pick_router(bench)
-    sent = record_request(bench, "chat", router)
-    sent.answer = await complete_chat(
-        bench.fleet.client, router.address, "/consiglio", chat
-    )
-    tokens = answer_tokens(seed)
-    expected = "".join(next(tokens) for _number in range(natural_length_tokens(seed)))
-    sent.is_correct = not sent.answer.complete or sent.answer.text == expected
-
-
-async def send_lookup(bench: Bench) -> None:
-    """Send a request that changes nothing."""
-    router = pick_router(bench)
-    target = f"/bottega/handles/{bench.random.randrange(N_LOOKUPS)}"
-    sent = record_request(bench, "lookup", router)
-    sent.answer = await look_up(bench.fleet.client, router.address, target, TEAM)
-
-
-def record_request(bench: Bench, kind: str, router: Process) -> SentRequest:
-    """Record a request as sent now and return its record."""
-    sent = SentRequest(bench.phase, kind, time.monotonic(), router, Answer())
-    bench.sent.append(sent)
-    return sent
-
-
-async def drive_faults(bench: Bench, outage_s: float) -> None:
-    """Inject one fault after another, each followed by a time without faults."""
-    faults = {
-        "calm": run_without_fault,
-        "agent killed": kill_agent,
-        "agent paused": pause_agent,
-        "agent paused, store unavailable": pause_agent_in_outage,
-        "router paused": pause_router,
-        "router killed": kill_router,
-        "silent connections": silence_service_connections,
-        "lost replies": lose_replies,
-        "poisonous request": send_poisonous_chat,
-    }
-    for name, inject in faults.items():
-        start_phase(bench, name)
-        await inject(bench)
-        await asyncio.sleep(FAULT_FREE_S)
-    start_phase(bench, "store unavailable")
-    await set_faults(bench.fleet.store, {"outage": "refuse"})
-    await asyncio.sleep(outage_s)
-    await set_faults(bench.fleet.store, {"outage": ""})
-    await asyncio.sleep(FAULT_FREE_S)
-
-
-def start_phase(bench: Bench, name: str) -> None:
-    """Start a phase: requests sent from now on count to the fault ``name``."""
-    show_progress(name)
-    bench.phase = name
-    bench.phase_start_s[name] = time.monotonic()
-
-
-async def run_without_fault(bench: Bench) -> None:
-    """Wait without injecting a fault, as a baseline."""
-    await asyncio.sleep(FAULT_FREE_S)
-
-
-async def kill_agent(bench: Bench) -> None:
-    """Kill an agent and start another at the same address."""
-    endpoint = find_endpoints(bench.fleet, "bottega")[0]
-    relay = bench.relays[0]
-    await end_process(endpoint.agent, signal.SIGKILL)
-    service = bench.fleet.plan.services[1]
-    flags = {**service.agent_flags, "peer": relay.target}
-    replacement = replace(service, agent_flags=flags)
-    endpoint.agent = await start_agent(
-        bench.fleet, replacement, PLACE, "again", endpoint.engine
-    )
-    endpoint.agent.addresses["address"] = relay_address(relay)
-
-
-async def pause_agent(bench: Bench) -> None:
-    """Pause an agent for 3.5 s."""
-    await pause_process(find_endpoints(bench.fleet, "bottega")[1].agent)
-
-
-async def pause_agent_in_outage(bench: Bench) -> None:
-    """Pause an agent while the store does not answer: two faults at once."""
-    await set_faults(bench.fleet.store, {"outage": "hang"})
-    await pause_process(find_endpoints(bench.fleet, "bottega")[2].agent)
-    await set_faults(bench.fleet.store, {"outage": ""})
-
-
-async def pause_router(bench: Bench) -> None:
-    """Pause a router for 3.5 s."""
-    await pause_process(bench.fleet.routers[0])
-
-
-async def pause_process(process: Process) -> None:
-    """Pause a process for 3.5 s by SIGSTOP and SIGCONT."""
-    process.handle.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(PAUSE_DURATION_S)
-    process.handle.send_signal(signal.SIGCONT)
-
-
-async def kill_router(bench: Bench) -> None:
-    """Kill a router and remove it from the balancer."""
-    router = bench.fleet.routers.pop()
-    bench.fleet.extras.append(router)
-    bench.killed.add(router)
-    await end_process(router, signal.SIGKILL)
-
-
-async def silence_service_connections(bench: Bench) -> None:
-    """Stop forwarding on all open connections to the plain services, permanently."""
-    for relay in bench.relays:
-        silence_connections(relay)
-    await asyncio.sleep(PAUSE_DURATION_S)
-
-
-async def lose_replies(bench: Bench) -> None:
-    """Make the store lose the replies to 20 writes that take effect."""
-    await set_faults(bench.fleet.store, {"lose_replies": N_LOST_REPLIES})
-    await asyncio.sleep(FAULT_FREE_S)
-
-
-async def send_poisonous_chat(bench: Bench) -> None:
-    """Send a chat that crashes engines 4 times, each through another router."""
-    chat = Chat("poison", TEAM)
-    ask(chat, f"a {POISON} question")
-    router = None
-    for _attempt in range(N_POISON_SENDS):
-        router = pick_router(bench, router)
-        await complete_chat(bench.fleet.client, router.address, "/consiglio", chat)
-
-
-async def wait_for_callers(bench: Bench) -> None:
-    """Wait up to 6 s until the remaining callers have finished."""
-    if bench.tasks:
-        await asyncio.wait(list(bench.tasks), timeout=MAX_CALLER_WAIT_S)
-
-
 async def read_executions(fleet: Fleet) -> Counter:
     """Return how often each key ran, summed over all plain services."""
     executions = Counter()
