Split the bench case of the control traffic by job

Change: tools/growth.py grows a fleet, tools/footprints.py measures its processes, tools/projections.py projects to the target fleet, the case reports. No function changes but for the names of the seven constants.

--- a/tools/cases/config.py
+++ b/tools/cases/config.py
@@ -36,6 +36,8 @@
 from random import Random
 
 from fleets import RULES_KEY, Fleet, publish_list, start_routers
+from footprints import measure_idle
+from growth import ROLES, find_processes, grow
 from processes import end_process
 from progress import show_progress
 from results import CaseResult, Target
@@ -53,8 +55,6 @@
 from pulley_standins.stores import set_faults
 from pulley_wire import FrameStamp, Traffic
 
-from .control import ROLES, find_processes, grow, measure_idle
-
 LIMIT_S = 240
 SIZES = ((4, 1), (16, 4), (50, 10))
 N_PROCESSES_FOR_EDITS = 20
