--- a/tests/claims/machines/fleet.py
+++ b/tests/claims/machines/fleet.py
@@ -10,15 +10,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from .fakes import (
-    FakeAgent,
-    FakeRouter,
-    FakeStore,
-    Logic,
-    Request,
-    make_answer,
-    open_requests,
-)
+from .fake_agents import FakeAgent
+from .fake_routers import FakeRouter, Request, open_requests
+from .fake_stores import FakeStore, Logic
+from .frames import make_answer
 
 INDEX = st.integers(0, 7)
 KEYS = st.sampled_from([b"K1", b"K2"])
--- a/tests/claims/machines/logic_faults.py
+++ b/tests/claims/machines/logic_faults.py
@@ -6,7 +6,7 @@
 from pulley_policy.claims import Reply, Ruling, Verdict
 from pulley_policy.recoveries import Recovery
 
-from .fakes import SEND_TO_ENGINE, Logic
+from .fake_stores import SEND_TO_ENGINE, Logic
 from .fleet import FleetMachine
 
 
--- a/tests/claims/steps/decisions.py
+++ b/tests/claims/steps/decisions.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from behave import given, then, when
-from claims.machines.fakes import FakeStore, StepRunner
+from claims.machines.fake_stores import FakeStore, StepRunner
 from hypothesis import given as given_examples
 from hypothesis import settings
 from hypothesis import strategies as st
