--- a/tests/adapter/steps/programs.py
+++ b/tests/adapter/steps/programs.py
@@ -23,9 +23,17 @@
 
 def start_program(path, *, python=sys.executable):
     """Start the router's program with a settings file."""
-    environment = os.environ | {"PLANTAINPULLEY_BOOT": str(path)}
+    return start_command([python, "-m", "pulley_adapter"], path)
+
+
+def start_command(command, path, **variables):
+    """Start a command that runs the router's program with a settings file.
+
+    ``variables`` are added to the environment.
+    """
+    environment = os.environ | {"PLANTAINPULLEY_BOOT": str(path)} | variables
     return subprocess.Popen(
-        [python, "-m", "pulley_adapter"],
+        command,
         env=environment,
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
