Announce how long a connection may stay idle

Cause: nothing told callers how long a connection may stay idle, and several hundred are closed for idleness in a play; a trial that logged every end found no other close by the router. A request and a close then cross, and no grace time ends that.

Change: answers carry Keep-Alive with the idle timeout, and the connection is kept for as long as was announced even if the timeout has shrunk since.

Evidence: two scenarios of tests/http/limits fail without it ("none", no such header) and pass now.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -17,7 +17,7 @@
     warn_event,
 )
 
-from .models import Limits, Request, Response, find_header
+from .models import Headers, Limits, Request, Response, find_header
 from .problems import RequestRefused, format_whole_seconds, problem_response
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -29,6 +29,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 # Colon, blank and line end of each header line.
 HEADER_OVERHEAD_BYTES = len(": \r\n")
+MS_PER_S = 1_000
 NOT_MODIFIED_STATUS = 304
 # States of h11 once an answer is complete.
 ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -111,7 +112,8 @@
     """One caller's connection.
 
     ``handling`` is true while a handler runs or its response is being sent,
-    ``n_requests`` counts the requests whose head was read. ``closed`` is done when
+    ``n_requests`` counts the requests whose head was read, and ``announced_idle_ms``
+    is the idle timeout that the last answer announced. ``closed`` is done when
     the connection has ended and all that was written to it has been sent.
     """
 
@@ -124,6 +126,7 @@
         self.handling = False
         self.method = ""
         self.n_requests = 0
+        self.announced_idle_ms = 0
         self.peer_closed = False
         self.reading_paused = False
         self.n_unread_bytes = 0
@@ -281,13 +284,14 @@
     async def wait_for_request(self) -> bool:
         """Wait for a request's first bytes or the end of the connection.
 
-        Returns False on a timeout, the one in force at the end of the wait, and when
-        the server drains.
+        Returns False when the server drains, and on a timeout: the one announced to
+        the caller, or that in force at the end of the wait if it is longer.
         """
         idle_since_ms = self.server.clock.now_ms()
         while True:
             limits = self.server.limits
-            end_ms = idle_since_ms + limits.idle_timeout_ms + limits.idle_grace_ms
+            idle_ms = max(limits.idle_timeout_ms, self.announced_idle_ms)
+            end_ms = idle_since_ms + idle_ms + limits.idle_grace_ms
             remaining_ms = end_ms - self.server.clock.now_ms()
             if await self.wait_for_data(remaining_ms) and await self.has_unread():
                 return True
@@ -457,8 +461,21 @@
         request_unread = not self.handling or self.h11.their_state is not h11.DONE
         if self.server.draining or request_unread:
             headers.append((b"connection", b"close"))
+        else:
+            headers.extend(self.announce_idle_timeout())
         return h11.Response(status_code=response.status, headers=headers)
 
+    def announce_idle_timeout(self) -> Headers:
+        """Return the header that says how long the connection may stay idle.
+
+        It holds whole seconds; a shorter timeout is not announced.
+        """
+        timeout_s = self.server.limits.idle_timeout_ms // MS_PER_S
+        if not timeout_s:
+            return []
+        self.announced_idle_ms = timeout_s * MS_PER_S
+        return [(b"keep-alive", b"timeout=%d" % timeout_s)]
+
     def write(self, data: bytes | None):
         if data and not self.transport.is_closing():
             self.transport.write(data)
--- a/tests/http/steps/limits.py
+++ b/tests/http/steps/limits.py
@@ -3,13 +3,23 @@
 import asyncio
 from dataclasses import replace
 
-from behave import when
+from behave import then, when
 from raw_callers import connect_raw, read_status
 
-from pulley_http import Limits, Response, start_server
+from pulley_http import (
+    Client,
+    Limits,
+    Response,
+    find_header,
+    read_all,
+    send_request,
+    start_server,
+)
 
 OLD_IDLE_TIMEOUT_MS = 300
 NEW_IDLE_TIMEOUT_MS = 3_000
+ANNOUNCED_IDLE_MS = 2_000
+SHORT_IDLE_TIMEOUT_MS = 200
 OLD_HEAD_BYTES = 1_000
 NEW_HEAD_BYTES = 8_000
 PART_PAUSE_S = 0.1
@@ -52,6 +62,43 @@
     context.status = asyncio.run(send_under_new_limits(limits, limits, parts, pause_ms))
 
 
+@when("a request arrives within the announced idle time, after a shorter timeout")
+def send_within_announced_time(context):
+    async def run():
+        old = Limits(idle_timeout_ms=ANNOUNCED_IDLE_MS, idle_grace_ms=0)
+        server = await start_server(answer_empty, "127.0.0.1", 0, limits=old)
+        async with connect_raw(server) as caller:
+            caller.send(HEAD_START + b"\r\n")
+            await read_status(caller)
+            server.limits = replace(old, idle_timeout_ms=SHORT_IDLE_TIMEOUT_MS)
+            await asyncio.sleep(4 * SHORT_IDLE_TIMEOUT_MS / 1_000)
+            caller.send(HEAD_START + b"\r\n")
+            status = await read_status(caller)
+        server.listener.close()
+        return status
+
+    context.status = asyncio.run(run())
+
+
+@when("a caller reads an answer of a server with an idle timeout of 15 s")
+def read_answer(context):
+    async def run():
+        limits = Limits(idle_timeout_ms=15_000)
+        server = await start_server(answer_empty, "127.0.0.1", 0, limits=limits)
+        answer = await send_request(Client(), server.address, "GET", "/")
+        await read_all(answer.body)
+        server.listener.close()
+        return answer.headers
+
+    context.headers = asyncio.run(run())
+
+
+@then('the answer has the header "{name}: {value}"')
+def check_header(context, name, value):
+    found = find_header(context.headers, name.encode())
+    assert found == value.encode(), context.headers
+
+
 @when("the head limit grows and a longer head arrives in two parts")
 def send_longer_head(context):
     old = Limits(head_bytes=OLD_HEAD_BYTES)
