Pass on a silent stream's events while another endpoint is asked

Callers saw: nothing until the deadline, though the endpoint of their stream had gone on after a pause of more than 1.3 s.

Cause: while the router waited for the head of a second endpoint's answer, nobody read the first one. A second endpoint that queues the stream and does not refuse it keeps the router waiting up to the deadline; the events of the first one lay unread.

Change: the router waits for either; if the first one goes on, the other attempt is cancelled and the log says stream_went_on. An exchange that the other endpoint has begun by then is taken, as before.

--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -1,10 +1,12 @@
 """Event streams: forwarded in whole events, and resumed elsewhere when they break."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 
 from pulley_base import ConnectionLost, PulleyError, Reason, log_event
 from pulley_http import Response, drop_hop_by_hop_headers
+from pulley_http.connections import ClientConnection, read_more
 
 from .attempts import (
     Exchange,
@@ -77,15 +79,26 @@
         """Continue the stream elsewhere, or wait on if no endpoint takes it over.
 
         The endpoint may still be at work, so its exchange ends only once another
-        endpoint has answered.
+        endpoint has answered. If it goes on before that, the other attempt ends.
         """
         silent = self.exchange
         record_broken_stream(silent, self.job, failure_reason(error))
-        resumed = await self.resume_elsewhere(silent.endpoint, error)
-        if resumed is None:
-            return
-        end_exchange(silent)
-        self.continue_at(resumed)
+        resuming = asyncio.create_task(self.resume_elsewhere(silent.endpoint, error))
+        try:
+            await wait_for_either(resuming, silent.channel.connection)
+        finally:
+            resumed = await stop_resuming(resuming)
+            if resumed is not None:
+                end_exchange(silent)
+                self.continue_at(resumed)
+        if resuming.cancelled():
+            log_event(
+                logger,
+                "stream_went_on",
+                request=self.job.call.request_id,
+                endpoint=silent.endpoint.name,
+                last_event_id=self.buffer.last_id,
+            )
 
     async def replace_broken(self, error: PulleyError) -> None:
         """Continue the stream elsewhere.
@@ -139,6 +152,25 @@
             self.exchange = None
 
 
+async def wait_for_either(resuming: asyncio.Task, connection: ClientConnection) -> None:
+    """Wait until a task is done or bytes have arrived on a connection."""
+    resuming.add_done_callback(lambda _task: connection.wake_reader())
+    n_reads = connection.n_reads
+    while not resuming.done() and connection.n_reads == n_reads:
+        if connection.ended:
+            await asyncio.wait({resuming})
+        else:
+            await read_more(connection, "body")
+
+
+async def stop_resuming(resuming: asyncio.Task) -> Exchange | None:
+    """Cancel a task that is not done; return the exchange of one that is."""
+    if not resuming.done():
+        resuming.cancel()
+        await asyncio.wait({resuming})
+    return None if resuming.cancelled() else resuming.result()
+
+
 def record_broken_stream(exchange: Exchange, job: Job, reason: Reason) -> None:
     """Record a stream that broke off or did not end by its deadline.
 
