Stay patient on a connection whose long body may be unread

Callers saw: 502 for an order, though the endpoint was at work.

Cause: an endpoint may answer before it has read a long body, and keep the connection. The next, short request on it set the limit on unacknowledged bytes back to 700 ms, which counts the old body too. Class: a silence that is taken for a failure.

Change: a connection that has carried a long request keeps the limit of the current deadline. Price: on such a connection a dead endpoint is noticed at the deadline, or by a connect that fails.

Evidence: tests/direct/early_answers failed before ([200, 502], "connection-lost" after about a second) and passes now, on one connection.

--- a/packages/direct/src/pulley_direct/channels.py
+++ b/packages/direct/src/pulley_direct/channels.py
@@ -36,7 +36,8 @@
     """One connection to an endpoint.
 
     ``expires_ms`` is the clock reading until which it may be reused. ``is_patient``
-    says that its endpoint may leave bytes unacknowledged until the deadline.
+    says that it carried a long request, which its endpoint may not have read yet: an
+    endpoint may answer before.
     """
 
     connection: ClientConnection
@@ -89,13 +90,12 @@
 def allow_late_reading(channel: Channel, n_bytes: int, left_ms: int) -> None:
     """Let the endpoint read a request of ``n_bytes`` late if it is a long one.
 
-    ``left_ms`` is the time to the request's deadline.
+    So too if an earlier one on the channel was long. ``left_ms`` is the time to the
+    request's deadline.
     """
-    is_patient = n_bytes > MAX_WINDOW_BYTES
-    if is_patient or channel.is_patient:
-        timeout_ms = max(ACK_TIMEOUT_MS, left_ms) if is_patient else ACK_TIMEOUT_MS
-        set_user_timeout(channel.connection, timeout_ms)
-    channel.is_patient = is_patient
+    channel.is_patient = channel.is_patient or n_bytes > MAX_WINDOW_BYTES
+    if channel.is_patient:
+        set_user_timeout(channel.connection, max(ACK_TIMEOUT_MS, left_ms))
 
 
 def release_channel(
