Answer a head that began to arrive with the request before it

Callers saw: no answer to a request whose first bytes came in one piece with the request before it, when the server then began to drain.

Cause: those bytes are in the parser when the wait for a request begins, so that wait took the connection for idle: a drain closed it, and the idle timeout applied in place of the head timeout.

Change: a head that has begun is read as such.

Evidence: both scenarios of tests/http/pipelines failed before (status "none") and pass now.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -262,7 +262,7 @@
         timeout, or is too large.
         """
         event = self.next_head_event()
-        if event is h11.NEED_DATA:
+        if event is h11.NEED_DATA and not self.h11.trailing_data[0]:
             if not await self.wait_for_request():
                 return None
             event = self.next_head_event()
