Give an agent's probe of its engine the time for which the agent was busy

Seen: a live engine counted as crashed, with every request in flight there as a suspect of the crash, after its agent's event loop had been busy for 400 ms as the probe connected; a connection that the engine closed in that time counted as alive.

Cause: both waits of the probe took a timer for a fact about the engine. Class: a timer that is taken for a fact about the peer, though the process itself was late.

Change: the probe uses time_limit of the base package.

--- a/packages/agent/src/pulley_agent/crashes.py
+++ b/packages/agent/src/pulley_agent/crashes.py
@@ -16,7 +16,15 @@
 
 from prometheus_client import Counter
 
-from pulley_base import Clock, Reason, Sentinel, log_event, to_seconds, warn_event
+from pulley_base import (
+    Clock,
+    Reason,
+    Sentinel,
+    log_event,
+    time_limit,
+    to_seconds,
+    warn_event,
+)
 from pulley_http import RequestRefused
 from pulley_platform import (
     Committed,
@@ -215,12 +223,12 @@
     """
     host, _, port = watch.engine.rpartition(":")
     try:
-        async with asyncio.timeout(to_seconds(PROBE_TIMEOUT_MS)):
+        async with time_limit(PROBE_TIMEOUT_MS):
             reader, writer = await asyncio.open_connection(host, int(port))
     except (OSError, TimeoutError):
         return True
     try:
-        async with asyncio.timeout(to_seconds(PROBE_TIMEOUT_MS)):
+        async with time_limit(PROBE_TIMEOUT_MS):
             return not await reader.read(1)
     except TimeoutError:
         return False
