Count a refused request with an unread body as answered

Seen: request_unanswered and the counter of unfinished requests for each request that was refused with its body unread (413), although its caller got the answer.

Cause: any unread byte counted as a request of its own. What follows a refused request that was not read to its end belongs to that request.

Change: behind a complete answer, unread bytes count only if the request was complete too.

Evidence: of the three scenarios of tests/http/unread_bodies the one on a body failed before (1 counted) and passes now; those on a head and on a second request behind the last answer of a drain passed before.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -30,8 +30,8 @@
 # Colon, blank and line end of each header line.
 HEADER_OVERHEAD_BYTES = len(": \r\n")
 NOT_MODIFIED_STATUS = 304
-# States of h11 once an answer is complete.
-ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+# States of h11 once a request, or its answer, is complete.
+COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 FOLDED_LINE = re.compile(rb"\n[ \t]")
 
 logger = logging.getLogger(__name__)
@@ -199,9 +199,11 @@
         """Check whether this side ends the connection in the middle of a request."""
         if self.peer_closed:
             return False
-        unread = self.h11.trailing_data[0]
-        answered = self.h11.our_state in ANSWERED_STATES
-        return bool(unread) or (self.h11.their_state is not h11.IDLE and not answered)
+        unread = bool(self.h11.trailing_data[0])
+        if self.h11.our_state in COMPLETE_STATES:
+            # What follows a request that was refused unread belongs to that one.
+            return unread and self.h11.their_state in COMPLETE_STATES
+        return unread or self.h11.their_state is not h11.IDLE
 
     def record_unanswered(self):
         """Count and log that a request gets no whole answer, and how far it came."""
