Charge a resumed stream only for retries that were sent

Seen: one stream whose endpoint paused took a retry from the service's budget for each other endpoint at which no connection was free, though nothing was sent: 8 retries with 8 endpoints, 12 of 15 with 12. A caller with a slow stream can so leave a service without retries.

Cause: the loop that resumes a stream takes a retry before each attempt; the one for first requests takes none for an attempt that did not reach its endpoint.

Change: a retry that was not sent stays reserved for the job.

--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -116,16 +116,19 @@
 ) -> Exchange | None:
     """Continue a broken stream at another endpoint, after ``last_event_id``.
 
-    Returns None if no time, attempt, retry or endpoint is left.
+    Returns None if no time, attempt, retry or endpoint is left. A retry that was not
+    sent stays reserved for the job.
     """
     while may_resume(router, job) and spend_retry(router, job, Reason.CONNECTION_LOST):
         target = choose_target(router, job)
         if target is None:
+            job.retry_reserved = True
             return None
         try:
             return await start_resumed_exchange(router, job, target, last_event_id)
         except AttemptFailed as failure:
             handle_attempt_failure(router, job, failure)
+            job.retry_reserved = not failure.reached
     return None
 
 
