Don't take the process's own stop for its peer's silence

Seen: a connection with work in flight was closed as silent after the process itself had been stopped for 3 s, though its peer was alive (it had nothing to send).

Cause: silence is measured by the clock, also over the time in which this process did not run, and no heartbeat was sent before the end. Class: a timer that is taken for a fact about the peer, though the process itself was late.

Change: the time by which a liveness check is late does not count as silence.

Evidence: the first scenario of tests/wire/stops failed before (closed as silent) and passes now; the second, on a peer that is silent after the stop, passes before and after.

--- a/packages/wire/src/pulley_wire/connections.py
+++ b/packages/wire/src/pulley_wire/connections.py
@@ -109,6 +109,7 @@
         self.last_sent_ms = self.last_received_ms
         self.heartbeat_sequence = 0
         self.liveness_timer = None
+        self.check_due_ms = 0
         self.writable = asyncio.Event()
         self.writable.set()
         self.hello_received = asyncio.Event()
@@ -209,6 +210,7 @@
 
     def schedule_liveness_check(self):
         """Schedule the next liveness check."""
+        self.check_due_ms = self.clock.deadline_ms(LIVENESS_CHECK_INTERVAL_MS)
         loop = asyncio.get_running_loop()
         self.liveness_timer = loop.call_later(
             to_seconds(LIVENESS_CHECK_INTERVAL_MS), self.check_liveness
@@ -217,9 +219,12 @@
     def check_liveness(self):
         """Close the connection if it is silent while work is in flight.
 
-        Before that, send heartbeats to find out whether the peer is alive.
+        Before that, send heartbeats to find out whether the peer is alive. Time for
+        which this process was late is no silence of the peer.
         """
         now_ms = self.clock.now_ms()
+        late_ms = max(0, now_ms - self.check_due_ms)
+        self.last_received_ms = min(now_ms, self.last_received_ms + late_ms)
         if self.n_in_flight > 0:
             idle_ms = now_ms - self.last_received_ms
             if idle_ms > SILENCE_TIMEOUT_MS:
--- /dev/null
+++ b/tests/wire/stops.feature
@@ -0,0 +1,11 @@
+Feature: A connection whose process was stopped for a while
+
+  # Guards against a live peer that counts as silent because the process itself was late.
+  Scenario: A live peer does not count as silent after a stop of the process
+    When a process with work in flight is stopped for longer than a peer may be silent
+    Then its connection to a live peer stays open
+
+  # Guards against a dead peer that is never noticed.
+  Scenario: A peer that is silent after a stop is noticed
+    When a process with work in flight is stopped and its peer is silent from then on
+    Then its connection is closed for the reason of silence
