Reset the connection of a cut answer that has no chunks

Callers saw: a broken stream that looked complete, if they speak HTTP/1.0.

Cause: an answer to such a caller ends with its connection, and a cut one was closed in the same way. Class: an end that is taken for completeness.

Change: a response without chunks that breaks off ends with a reset.

Evidence: tests/http/cuts failed for HTTP/1.0 before (a clean end after the first part) and passes now.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -30,6 +30,7 @@
 # Colon, blank and line end of each header line.
 HEADER_OVERHEAD_BYTES = len(": \r\n")
 MS_PER_S = 1_000
+CHUNKED_HTTP_VERSION = b"1.1"
 NOT_MODIFIED_STATUS = 304
 # States of h11 once a request, or its answer, is complete.
 COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -428,11 +429,21 @@
                     await self.writable.wait()
         except Exception as error:
             log_event(logger, "answer_cut", peer=self.peer, error=repr(error))
-            self.transport.close()
+            self.end_incomplete()
             raise ConnectionError("the response body was interrupted") from error
         finally:
             await body.aclose()
 
+    def end_incomplete(self):
+        """End the connection so that its response can't look complete.
+
+        A response without chunks ends with its connection, unless that is reset.
+        """
+        if self.h11.their_http_version == CHUNKED_HTTP_VERSION:
+            self.transport.close()
+        else:
+            self.transport.abort()
+
     async def linger(self):
         """Discard what the caller still sends, for up to ``LINGER_MS``.
 
@@ -515,7 +526,7 @@
         raise RequestRefused(
             400, Reason.BAD_REQUEST, "the body has two framings", step="head"
         )
-    if head.http_version != b"1.1":
+    if head.http_version != CHUNKED_HTTP_VERSION:
         raise RequestRefused(
             400, Reason.BAD_REQUEST, "chunks need HTTP/1.1", step="head"
         )
