--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 import re
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -31,6 +33,8 @@
 HEADER_OVERHEAD_BYTES = len(": \r\n")
 MS_PER_S = 1_000
 CHUNKED_HTTP_VERSION = b"1.1"
+# A linger time of zero.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 NOT_MODIFIED_STATUS = 304
 # States of h11 once a request, or its answer, is complete.
 COMPLETE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -442,6 +446,8 @@
         if self.h11.their_http_version == CHUNKED_HTTP_VERSION:
             self.transport.close()
         else:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.transport.abort()
 
     async def linger(self):
