End a wait for an endpoint at the deadline also on a busy router

Callers saw: 504 later than before on a router whose event loop is busy.

Cause: the last wait before a deadline is extended like any other by the time for which the loop was busy, up to 150 ms, each part of which is noticed late again.

Change: time_limit takes the most that it may add; a wait for an endpoint is not extended past the deadline. What has arrived by then still counts, as the loop looks once more.

Evidence: tests/direct/busy_deadlines failed before (five of five calls took 881 to 888 ms with a deadline of 600 and a block from 590 to 740 ms) and passes now.

--- a/packages/base/src/pulley_base/timeouts.py
+++ b/packages/base/src/pulley_base/timeouts.py
@@ -11,13 +11,15 @@
 
 
 @asynccontextmanager
-async def time_limit(timeout_ms: int | float | None) -> AsyncIterator[None]:
+async def time_limit(
+    timeout_ms: int | float | None, max_extra_ms: int | float | None = None
+) -> AsyncIterator[None]:
     """Raise TimeoutError in a block that takes longer than ``timeout_ms``.
 
     While the event loop is busy, nobody reads what arrives. So if the timeout is
-    noticed late, the block gets that much time again, at most ``timeout_ms`` in all,
-    and what has arrived in the turn of the loop in which the timeout expires counts
-    as in time. None sets no limit.
+    noticed late, the block gets that much time again, at most ``timeout_ms`` in all
+    and at most ``max_extra_ms`` if that is given. What has arrived in the turn of the
+    loop in which the timeout expires counts as in time. None sets no limit.
 
     >>> async def wait(timeout_ms):
     ...     async with time_limit(timeout_ms):
@@ -27,7 +29,10 @@
     TimeoutError
     """
     async with asyncio.timeout(None) as scope:
-        timer = None if timeout_ms is None else ExpiryTimer(scope, timeout_ms)
+        timer = None
+        if timeout_ms is not None:
+            extra_ms = timeout_ms if max_extra_ms is None else max_extra_ms
+            timer = ExpiryTimer(scope, timeout_ms, min(timeout_ms, extra_ms))
         try:
             yield
         finally:
@@ -41,11 +46,16 @@
     ``extra_s`` is the time that may still be granted.
     """
 
-    def __init__(self, scope: asyncio.Timeout, timeout_ms: int | float):
+    def __init__(
+        self,
+        scope: asyncio.Timeout,
+        timeout_ms: int | float,
+        extra_ms: int | float,
+    ):
         self.scope = scope
         self.loop = asyncio.get_running_loop()
-        self.extra_s = to_seconds(timeout_ms)
-        self.start(self.extra_s)
+        self.extra_s = to_seconds(extra_ms)
+        self.start(to_seconds(timeout_ms))
 
     def start(self, delay_s: float) -> None:
         """Start the timer."""
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -54,7 +54,7 @@
             if has_other_endpoint(router, job) and reserve_retry(router, job):
                 raise AnswerTimeout("nothing came", step="wait", before_deadline=True)
         wait_ms = min(left_ms, POLL_INTERVAL_MS)
-        if await read_within(connection, wait_ms):
+        if await read_within(connection, wait_ms, left_ms - wait_ms):
             return
         silent_ms += wait_ms
         record_if_late(router, job, endpoint)
@@ -67,11 +67,16 @@
     return any(one.name not in tried for one in usable)
 
 
-async def read_within(connection: ClientConnection, timeout_ms: int) -> bool:
-    """Wait for more bytes or the end; return False if nothing came in time."""
+async def read_within(
+    connection: ClientConnection, timeout_ms: int, max_extra_ms: int
+) -> bool:
+    """Wait for more bytes or the end; return False if nothing came in time.
+
+    ``max_extra_ms`` limits the time that is added if the loop was busy.
+    """
     n_reads = connection.n_reads
     try:
-        async with time_limit(timeout_ms):
+        async with time_limit(timeout_ms, max_extra_ms):
             await read_more(connection, "wait")
     except TimeoutError:
         # The loop may have been busy since the timeout expired.
