Limit what frames a request's chunks like its head

Seen: a trailer, or a chunk's head, of up to 1 MiB without an end is kept in memory for each connection; 408 in place of 431.

Cause: since the parser's own limit is 1 MiB, and the server checks the limit in force for heads only.

Change: it checks what is left unparsed in a body too.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -358,7 +358,8 @@
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the body's bytes as they arrive.
 
-        Raises RequestRefused if the body stalls or exceeds the limit.
+        Raises RequestRefused if the body stalls or exceeds the limit, or if what
+        frames its chunks exceeds the limit on heads.
         """
         n_bytes = 0
         if self.h11.they_are_waiting_for_100_continue:
@@ -368,6 +369,8 @@
         while True:
             event = self.next_event()
             if event is h11.NEED_DATA:
+                if len(self.h11.trailing_data[0]) > self.server.limits.head_bytes:
+                    raise head_too_large()
                 if not await self.wait_for_data(self.server.limits.body_timeout_ms):
                     raise RequestRefused(
                         408, Reason.BODY_TOO_SLOW, "the body stalled", step="body"
