Match known failures by their whole name

Cause: a failed scenario counted as known if its name stood anywhere in KNOWN-RED.txt, so one called "the demo" would have passed (found in review).

Change: only the names in its test: lines count.

--- a/tests/run.py
+++ b/tests/run.py
@@ -20,6 +20,7 @@
 MAX_PARALLEL_SUITES = 3
 SUITE_TIMEOUT_S = 1_200
 KNOWN_FAILURES_PATH = ROOT / "KNOWN-RED.txt"
+KNOWN_FAILURE_MARK = "test:"
 
 
 @dataclass(frozen=True)
@@ -83,9 +84,16 @@
                 yield Result(suite, element["name"], element.get("status", "failed"))
 
 
-def read_known_failures() -> str:
-    """Return the text of KNOWN-RED.txt; empty when there is none."""
-    return KNOWN_FAILURES_PATH.read_text() if KNOWN_FAILURES_PATH.exists() else ""
+def read_known_failures() -> set[str]:
+    """Return the names in the ``test:`` lines of KNOWN-RED.txt, if there is one."""
+    if not KNOWN_FAILURES_PATH.exists():
+        return set()
+    lines = KNOWN_FAILURES_PATH.read_text().splitlines()
+    return {
+        line.removeprefix(KNOWN_FAILURE_MARK).strip()
+        for line in lines
+        if line.startswith(KNOWN_FAILURE_MARK)
+    }
 
 
 def main() -> int:
