Keep the name of a bench fleet that grows

Cause: a defect of the bench, not of the product. Fleet.name was made of the plan's name, and growth.grow and the replacement of a router rename the plan, for the names of the logs. Rules reached them from the store only, and the count of lost lines, which asks as a member of the fleet, got no answer from most of them.

A fleet grown to (1, 1) and (3, 2): 100 events "other_fleet" within 5 s; after the change none.

Change: the name is a field that run_fleet sets once.

--- a/tools/fleets.py
+++ b/tools/fleets.py
@@ -48,10 +48,12 @@
 class Fleet:
     """A running fleet.
 
+    ``name`` is unique among the fleets on this machine and stays when the plan changes.
     ``extras`` holds every process that is not in ``routers``: stand-ins, agents
     and those that a case adds.
     """
 
+    name: str
     plan: FleetPlan
     logs: Path
     store: StoreStandin
@@ -61,11 +63,6 @@
     routers: list[Process] = field(default_factory=list)
     extras: list[Process] = field(default_factory=list)
 
-    @property
-    def name(self) -> str:
-        """The fleet's name, unique among the fleets on this machine."""
-        return f"{self.plan.name}-{self.store_address}"
-
     @property
     def store_address(self) -> str:
         """The IP:port of the key-value service."""
@@ -83,7 +80,8 @@
     with tempfile.TemporaryDirectory(prefix="plantainpulley-") as folder:
         store = await start_store(HOST)
         instances = await start_list(HOST)
-        fleet = Fleet(plan, Path(folder), store, instances, Client())
+        name = f"{plan.name}-{store.server.address}"
+        fleet = Fleet(name, plan, Path(folder), store, instances, Client())
         try:
             set_rules(fleet, plan.rules)
             await start_endpoints(fleet)
--- a/tools/operators.py
+++ b/tools/operators.py
@@ -103,12 +103,22 @@
 async def count_lost_lines(trial: Trial) -> int:
     """Return the number of accepted lines missing, summed over all processes."""
     n_lost = 0
-    addresses = [e.agent.address for e in trial.fleet.endpoints]
-    addresses += [router.addresses["peer"] for router in trial.fleet.routers]
-    for address in addresses:
-        stamp = FrameStamp(fleet=digest_fleet(trial.fleet.name))
-        follower = Follower(stamp)
-        await fetch_rules(follower, address, Traffic())
-        installed = set(follower.rules.text.split("\n"))
+    for text in await fetch_texts(trial.fleet):
+        installed = set(text.split("\n"))
         n_lost += sum(line not in installed for line in trial.lines.values())
     return n_lost
+
+
+async def fetch_texts(fleet: Fleet) -> list[str]:
+    """Return the rules that each process has in force, as a member of the fleet.
+
+    The text is empty for a process that gives none.
+    """
+    addresses = [endpoint.agent.address for endpoint in fleet.endpoints]
+    addresses += [router.addresses["peer"] for router in fleet.routers]
+    texts = []
+    for address in addresses:
+        follower = Follower(FrameStamp(fleet=digest_fleet(fleet.name)))
+        await fetch_rules(follower, address, Traffic())
+        texts.append(follower.rules.text)
+    return texts
