Write claims, voids and releases by one loop

Cause: claim_steps, void_steps and release_steps held the same loop three times, with another plan, judgement and final verdict.

Change: commit_steps holds the loop; the three functions name what differs.

--- a/packages/policy/src/pulley_policy/claims.py
+++ b/packages/policy/src/pulley_policy/claims.py
@@ -14,7 +14,7 @@
 """
 
 import json
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
@@ -131,42 +131,37 @@
     Every verdict except CREATED and CLAIMED means that this delivery has not run the
     attempt and, once it stops trying, never will.
     """
-    view = None
-    while True:
-        reply = yield plan_claim(subject, view)
-        if reply is Reply.DONE:
-            return Ruling(Verdict.CREATED)
-        if isinstance(reply, View):
-            view = reply
-            ruling = judge_claim(subject, view)
-            if ruling is not None:
-                return ruling
+    return commit_steps(subject, plan_claim, judge_claim, Verdict.CREATED)
 
 
 def void_steps(subject: Subject) -> Steps:
     """Void an attempt that its router has lost contact with."""
-    view = None
-    while True:
-        reply = yield plan_void(subject, view)
-        if reply is Reply.DONE:
-            return Ruling(Verdict.VOIDED)
-        if isinstance(reply, View):
-            view = reply
-            ruling = judge_void(subject, view)
-            if ruling is not None:
-                return ruling
+    return commit_steps(subject, plan_void, judge_void, Verdict.VOIDED)
 
 
 def release_steps(subject: Subject) -> Steps:
     """Void the agent's own attempt that may be claimed but never went to the engine."""
+    return commit_steps(subject, plan_void, judge_release, Verdict.VOIDED)
+
+
+def commit_steps(
+    subject: Subject,
+    plan: Callable[[Subject, View | None], Plan],
+    judge: Callable[[Subject, View], Ruling | None],
+    verdict: Verdict,
+) -> Steps:
+    """Repeat a write until it is done, which gives ``verdict``, or a view decides.
+
+    A lost reply repeats the same plan; a view leads to a ruling or to a new plan.
+    """
     view = None
     while True:
-        reply = yield plan_void(subject, view)
+        reply = yield plan(subject, view)
         if reply is Reply.DONE:
-            return Ruling(Verdict.VOIDED)
+            return Ruling(verdict)
         if isinstance(reply, View):
             view = reply
-            ruling = judge_release(subject, view)
+            ruling = judge(subject, view)
             if ruling is not None:
                 return ruling
 
