Name the reading of the committed measurements for what it reads

Cause: read_slopes returns every metric of docs/measurements, slopes and others.

Change: read_measurements. No logic changes.

--- a/tests/operators/steps/pages.py
+++ b/tests/operators/steps/pages.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(ROOT / "tools"))
 
 from capacity import PAGE, make_table, split_page  # noqa: E402
-from capacity_rows import MEASUREMENTS, read_slopes  # noqa: E402
+from capacity_rows import MEASUREMENTS, read_measurements  # noqa: E402
 
 OPERATIONS = ROOT / "docs" / "OPERATIONS.md"
 PRODUCTS = (
@@ -64,7 +64,9 @@
 @then("the table of CAPACITY.md equals that of tools/capacity.py")
 def capacity_agrees(context):
     shown = split_page(PAGE.read_text())[1]
-    assert shown == make_table(read_slopes()), "run python tools/capacity.py --write"
+    assert shown == make_table(read_measurements()), (
+        "run python tools/capacity.py --write"
+    )
 
 
 @then("another value in the JSON gives another table")
@@ -76,4 +78,4 @@
             for metric in document["metrics"]:
                 document["metrics"][metric] *= 2
             (folder / path.name).write_text(json.dumps(document))
-        assert make_table(read_slopes(folder)) != make_table(read_slopes())
+        assert make_table(read_measurements(folder)) != make_table(read_measurements())
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Iterator
 
-from capacity_rows import ROOT, Measurements, Row, read_slopes
+from capacity_rows import ROOT, Measurements, Row, read_measurements
 from process_rows import (
     list_agent_rows,
     list_process_rows,
@@ -83,7 +83,7 @@
 
 def main() -> int:
     """Print the table, or write it into the page with ``--write``."""
-    table = make_table(read_slopes())
+    table = make_table(read_measurements())
     if "--write" in sys.argv[1:]:
         before, _, after = split_page(PAGE.read_text())
         PAGE.write_text(before + table + after)
--- a/tools/capacity_rows.py
+++ b/tools/capacity_rows.py
@@ -42,7 +42,7 @@
             raise MissingMetricError(f"{case}: {metric}") from None
 
 
-def read_slopes(folder: Path = MEASUREMENTS) -> Measurements:
+def read_measurements(folder: Path = MEASUREMENTS) -> Measurements:
     """Read the metrics of every JSON file in ``folder``."""
     cases = {}
     for path in sorted(folder.glob("*.json")):
