--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -20,6 +20,7 @@
 from .beliefs import FleetView
 from .channels import ChannelPool, close_unusable_idle
 from .counters import UNANSWERED
+from .crash_reports import publish_reports
 from .followers import follow_store
 from .front import handle_request
 from .loads import LoadTable, remove_unlisted
@@ -111,6 +112,7 @@
     tasks = [
         asyncio.create_task(follow_store(store, fleet_view, clock, in_force_ms)),
         asyncio.create_task(announce(store, router)),
+        asyncio.create_task(publish_reports(store, router)),
         asyncio.create_task(run_housekeeping(router, caller_server)),
     ]
     return RunningRouter(router, caller_server, ready_server, admin_server, tasks)
--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -362,7 +362,7 @@
                 raise ConnectionLost("the answer is too large", step="body")
     except PulleyError as error:
         raise AttemptFailed(
-            failure_reason(error), str(error), exchange.endpoint
+            failure_reason(error), str(error), exchange.endpoint, answer_began=True
         ) from error
     return b"".join(chunks)
 
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -13,9 +13,15 @@
     start_exchange,
 )
 from .budgets import earn_retry, spend_retry
+from .crashes import (
+    find_quarantine,
+    record_good_answer,
+    record_loss,
+    retry_after_quarantine_ms,
+)
 from .jobs import AttemptFailed, Job
 from .loads import get_state, record_success
-from .models import RetryClass
+from .models import Call, RetryClass
 from .outcomes import record_answer_time, record_failed_attempt
 from .placing import Target, choose_target
 from .routers import Router
@@ -28,6 +34,9 @@
 RETRY_AFTER_MS = 200
 FIRST_NON_SUCCESS_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
+MAX_LOGGED_PARTS = 8
+# Characters of a part's digest in a log line.
+MAX_LOGGED_DIGEST = 16
 
 
 async def dispatch(router: Router, job: Job) -> Response:
@@ -37,6 +46,15 @@
     """
     earn_retry(router, job.service)
     while True:
+        quarantined = find_quarantine(router, job)
+        if quarantined is not None:
+            return fall_back_or_refuse(
+                router,
+                job,
+                Reason.QUARANTINED,
+                f"requests with {quarantined} crashed endpoints",
+                retry_after_ms=retry_after_quarantine_ms(router, quarantined),
+            )
         target = choose_target(router, job)
         if target is None:
             return fall_back_or_refuse(
@@ -45,8 +63,12 @@
         try:
             response = await run_attempt(router, job, target)
         except AttemptFailed as failure:
+            crashed = await record_loss(router, job, failure)
             handle_attempt_failure(router, job, failure)
-            reason = retry_denial_reason(router, job, failure)
+            if crashed:
+                reason = Reason.ENGINE_CRASHED
+            else:
+                reason = retry_denial_reason(router, job, failure)
             if reason is not None:
                 return fall_back_or_refuse(router, job, reason, str(failure))
             continue
@@ -78,6 +100,8 @@
         raise
     end_exchange(exchange)
     record_success(router.loads, endpoint.name)
+    if exchange.status < FIRST_SERVER_ERROR_STATUS:
+        record_good_answer(router, job)
     record_answer_time(
         router, job, endpoint, failed=exchange.status >= FIRST_SERVER_ERROR_STATUS
     )
@@ -120,6 +144,9 @@
     sent stays reserved for the job.
     """
     while may_resume(router, job) and spend_retry(router, job, Reason.CONNECTION_LOST):
+        if find_quarantine(router, job) is not None:
+            job.retry_reserved = True
+            return None
         target = choose_target(router, job)
         if target is None:
             job.retry_reserved = True
@@ -173,12 +200,24 @@
         reason=failure.reason,
         detail=failure.args[0],
         may_have_run=failure.may_have_run,
+        answer_began=failure.answer_began,
+        parts=list_shared_parts(job.call) if failure.may_have_run else None,
         held_until_ms=backoff_until_ms,
         n_sent=len(job.sent_to),
         left_ms=job.deadline_ms - router.clock.now_ms(),
     )
 
 
+def list_shared_parts(call: Call) -> str | None:
+    """Return the digests of a prompt's shared parts for the log, None without any.
+
+    All parts but the last may be shared; of a long prompt only the first ones are
+    listed.
+    """
+    shared = call.parts[:-1][:MAX_LOGGED_PARTS]
+    return ",".join(part.digest[:MAX_LOGGED_DIGEST] for part in shared) or None
+
+
 def retry_denial_reason(
     router: Router, job: Job, failure: AttemptFailed
 ) -> Reason | None:
@@ -218,7 +257,12 @@
 
 
 def fall_back_or_refuse(
-    router: Router, job: Job, reason: Reason, detail: str
+    router: Router,
+    job: Job,
+    reason: Reason,
+    detail: str,
+    *,
+    retry_after_ms: int = RETRY_AFTER_MS,
 ) -> Response:
     """Return an endpoint's own error answer, or raise RequestRefused if there is none.
 
@@ -231,4 +275,4 @@
     if job.may_have_run:
         status = 504 if past_deadline else 502
         raise RequestRefused(status, reason, detail, outcome=Outcome.UNKNOWN)
-    raise RequestRefused(503, reason, detail, retry_after_ms=RETRY_AFTER_MS)
+    raise RequestRefused(503, reason, detail, retry_after_ms=retry_after_ms)
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -4,6 +4,7 @@
 
 from pulley_base import PulleyError, Reason
 from pulley_http import Response
+from pulley_policy.crashes import Scores
 
 from .models import Call, Endpoint, Route, Team
 
@@ -21,7 +22,8 @@
     budget, ``streaming`` that the router has begun a streamed answer.
     ``last_bad_endpoint`` is the endpoint for which an attempt was last counted as
     bad, ``fallback_response`` an endpoint's error answer that is returned if no
-    other attempt succeeds.
+    other attempt succeeds. ``scores`` are those of the request's keys when it was last
+    sent, None once it had a good answer.
     """
 
     call: Call
@@ -40,6 +42,7 @@
     sent_ms: int = 0
     last_bad_endpoint: str | None = None
     fallback_response: Response | None = None
+    scores: Scores | None = None
 
     @property
     def may_retry(self) -> bool:
@@ -55,7 +58,7 @@
 
     ``reached`` is False if nothing was written to the endpoint; ``may_have_run``
     is False only if the endpoint reported that it did not run the request, or was
-    not reached.
+    not reached. ``answer_began`` says whether the head of its answer had arrived.
     """
 
     def __init__(
@@ -66,9 +69,11 @@
         *,
         reached: bool = True,
         may_have_run: bool = True,
+        answer_began: bool = False,
     ):
         super().__init__(detail, step=str(reason), peer=endpoint.address)
         self.reason = reason
         self.endpoint = endpoint
         self.reached = reached
         self.may_have_run = may_have_run
+        self.answer_began = answer_began
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -15,6 +15,7 @@
     read_chunk,
     shows_its_end,
 )
+from .crashes import record_good_answer
 from .events import EventBuffer, is_inside_event, take_events, take_rest
 from .jobs import AttemptFailed, Job
 from .loads import record_success
@@ -63,9 +64,13 @@
         try:
             if self.exchange.finished:
                 check_end(self.exchange, self.job, self.buffer)
+                record_good_answer(self.router, self.job)
                 return take_rest(self.buffer) or None
             chunk = await read_chunk(self.exchange, self.job)
-            return take_events(self.buffer, chunk or b"")
+            events = take_events(self.buffer, chunk or b"")
+            if events:
+                record_good_answer(self.router, self.job)
+            return events
         except AnswerTimeout as error:
             if error.before_deadline:
                 await self.replace_silent(error)
@@ -217,7 +222,7 @@
             check_end(exchange, job, stream.buffer)
     except PulleyError as error:
         raise AttemptFailed(
-            failure_reason(error), str(error), exchange.endpoint
+            failure_reason(error), str(error), exchange.endpoint, answer_began=True
         ) from error
     job.streaming = True
     headers = [
