--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -64,6 +64,11 @@
     When a store with more items than one page is read
     Then all items are returned
 
+  # Guards against a router that is busy for twice as long as a change needs.
+  Scenario: Of the versions in one answer of a watch only the newest is decoded
+    When two versions and one that can't be read are written while a watch waits
+    Then the second version is the only configuration that is returned
+
   Scenario: A call that the store refuses is told apart from a call without an answer
     When the store refuses one call and does not answer another
     Then only the first is reported as refused, and the second took effect
--- a/tests/adapter/steps/store_calls.py
+++ b/tests/adapter/steps/store_calls.py
@@ -9,7 +9,7 @@
     put_document,
     start_store,
 )
-from samples import ENDPOINT_ENTRY
+from samples import CONFIGURATION, ENDPOINT_ENTRY
 
 from pulley_adapter.stores import connect_store
 from pulley_base import PulleyError
@@ -49,6 +49,24 @@
     )
 
 
+@when("two versions and one that can't be read are written while a watch waits")
+def watch_many_versions(context):
+    async def use_store(store, calls):
+        changes = await calls.read_all()
+        for version in (1, 2):
+            document = CONFIGURATION | {"version": version}
+            put_document(store, "op/config", document)
+        put_document(store, "op/config", {"version": "three"})
+        return await calls.watch(changes.revision, 1_000)
+
+    context.changes = asyncio.run(with_store(use_store))
+
+
+@then("the second version is the only configuration that is returned")
+def check_newest_version(context):
+    assert [entry.version for entry in context.changes.entries] == [2]
+
+
 @when("the store refuses one call and does not answer another")
 def call_failing_store(context):
     async def use_store(store, calls):
