--- /dev/null
+++ b/tests/direct/crash_log.feature
@@ -0,0 +1,20 @@
+Feature: A router weighs the reports of many others
+
+  Entries of other routers are applied directly; time is simulated.
+
+  # Guards against a router that is busy for many seconds after a wide outage.
+  Scenario: Many routers report many losses
+    When 20 routers report 32 losses each
+    Then quarantines are looked for at most 20 times
+
+  # Guards against a quarantine that starts again as the store is read again.
+  Scenario: The store is read again after a quarantine has ended
+    Given a part that is quarantined by a report
+    When 301 s pass and the same report is read again
+    Then that part is not quarantined
+
+  # Guards against a deadly part that is let through after a wide outage.
+  Scenario: A wide outage comes while a part is quarantined
+    Given a part that is quarantined by a report
+    When 20 routers report 32 losses each
+    Then that part is quarantined
