Keep the crash reports that quarantine a key when others have to give way

Seen in review: a router holds 256 reports, and the oldest gave way. Those about a quarantined part are always the oldest, as no request with it is sent any more; after 255 other losses the part was let through again.

Change: the oldest report that quarantines nothing gives way first.

--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -142,8 +142,8 @@
     remove_expired(evidence, now_ms)
     if lost.id in evidence.reports or lost.id in evidence.expired:
         return False
-    while len(evidence.reports) >= MAX_REPORTS:
-        remove_oldest(evidence)
+    if len(evidence.reports) >= MAX_REPORTS:
+        remove_report(evidence, find_replaceable(evidence, now_ms))
     evidence.reports[lost.id] = Held(lost, now_ms + HOLD_MS)
     for suspect in lost.suspects:
         if lost.crash not in evidence.cleared.get(suspect.key, ()):
@@ -158,14 +158,27 @@
         oldest = next(iter(evidence.reports.values()))
         if oldest.until_ms > now_ms:
             return
-        remove_oldest(evidence)
+        remove_report(evidence, oldest.lost.id)
         evidence.expired[oldest.lost.id] = None
         drop_first(evidence.expired, MAX_EXPIRED_REPORTS)
 
 
-def remove_oldest(evidence: Evidence) -> None:
-    """Remove the oldest report, and what it says of its keys."""
-    lost = evidence.reports.pop(next(iter(evidence.reports))).lost
+def find_replaceable(evidence: Evidence, now_ms: int) -> tuple[str, str]:
+    """Return the id of the oldest report that quarantines nothing.
+
+    No request with a quarantined key is sent any more, so the reports about it are
+    the oldest ones. If all reports are needed, the oldest gives way.
+    """
+    for held in evidence.reports.values():
+        keys = (suspect.key for suspect in held.lost.suspects)
+        if find_quarantined(evidence, keys, now_ms) is None:
+            return held.lost.id
+    return next(iter(evidence.reports))
+
+
+def remove_report(evidence: Evidence, report_id: tuple[str, str]) -> None:
+    """Remove a report, and what it says of its keys."""
+    lost = evidence.reports.pop(report_id).lost
     for suspect in lost.suspects:
         drop_crash(evidence, suspect.key, lost.crash)
 
