--- a/packages/direct/src/pulley_direct/channels.py
+++ b/packages/direct/src/pulley_direct/channels.py
@@ -6,7 +6,11 @@
 import h11
 
 from pulley_base import Clock
-from pulley_http.connections import ClientConnection, open_connection
+from pulley_http.connections import (
+    ClientConnection,
+    open_connection,
+    set_user_timeout,
+)
 
 # Many times a round trip between data centres, and below the shortest target of a
 # route (``target_ms``).
@@ -22,16 +26,24 @@
 IDLE_MARGIN_MS = 500
 
 
+# A request of up to this size fits into any endpoint's receive window. An endpoint that
+# leaves bytes of a longer one unacknowledged may just not have read it yet.
+MAX_WINDOW_BYTES = 64 * 1024
+
+
 @dataclass(slots=True)
 class Channel:
     """One connection to an endpoint.
 
-    ``expires_ms`` is the clock reading until which it may be reused.
+    ``expires_ms`` is the clock reading until which it may be reused. ``is_patient``
+    says that it carried a long request, which its endpoint may not have read yet: an
+    endpoint may answer before.
     """
 
     connection: ClientConnection
     address: str
     expires_ms: int = 0
+    is_patient: bool = False
 
 
 @dataclass(slots=True)
@@ -48,14 +60,11 @@
     n_opened: int = 0
 
 
-async def acquire_channel(pool: ChannelPool, address: str) -> Channel:
-    """Return an idle channel, or open a new one.
+async def connect_channel(pool: ChannelPool, address: str) -> Channel:
+    """Open a new channel.
 
     Raises ConnectionLost or TimedOut with the step ``connect``.
     """
-    channel = take_idle(pool, address)
-    if channel is not None:
-        return channel
     pool.n_open[address] += 1
     try:
         connection = await open_connection(address, CONNECT_TIMEOUT_MS, ACK_TIMEOUT_MS)
@@ -78,6 +87,17 @@
     return None
 
 
+def allow_late_reading(channel: Channel, n_bytes: int, left_ms: int) -> None:
+    """Let the endpoint read a request of ``n_bytes`` late if it is a long one.
+
+    So too if an earlier one on the channel was long. ``left_ms`` is the time to the
+    request's deadline.
+    """
+    channel.is_patient = channel.is_patient or n_bytes > MAX_WINDOW_BYTES
+    if channel.is_patient:
+        set_user_timeout(channel.connection, max(ACK_TIMEOUT_MS, left_ms))
+
+
 def release_channel(
     pool: ChannelPool, channel: Channel, idle_timeout_ms: int | None
 ) -> None:
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -137,21 +137,30 @@
 ) -> Exchange | None:
     """Continue a broken stream at another endpoint, after ``last_event_id``.
 
-    Returns None if no attempt, retry or endpoint is left.
+    Returns None if no time, attempt, retry or endpoint is left. A retry that was not
+    sent stays reserved for the job.
     """
-    while has_attempts_left(job) and spend_retry(router, job, Reason.CONNECTION_LOST):
+    while may_resume(router, job) and spend_retry(router, job, Reason.CONNECTION_LOST):
         if find_quarantine(router, job) is not None:
+            job.retry_reserved = True
             return None
         target = choose_target(router, job)
         if target is None:
+            job.retry_reserved = True
             return None
         try:
             return await start_resumed_exchange(router, job, target, last_event_id)
         except AttemptFailed as failure:
             handle_attempt_failure(router, job, failure)
+            job.retry_reserved = not failure.reached
     return None
 
 
+def may_resume(router: Router, job: Job) -> bool:
+    """Check whether a broken stream has time and attempts left."""
+    return job.deadline_ms > router.clock.now_ms() and has_attempts_left(job)
+
+
 async def start_resumed_exchange(
     router: Router, job: Job, target: Target, last_event_id: int | None
 ) -> Exchange:
--- a/packages/http/src/pulley_http/connections.py
+++ b/packages/http/src/pulley_http/connections.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from pulley_base import ConnectionLost, TimedOut, to_seconds
+from pulley_base import ConnectionLost, TimedOut, time_limit, to_seconds
 
 READ_AHEAD_BYTES = 256 * 1024
 CHECKS_PER_STALL_TIMEOUT = 4
@@ -21,8 +21,9 @@
 
     Received bytes are passed to h11 at once; reading is paused while more than
     ``READ_AHEAD_BYTES`` of them are unread. ``ended`` is set when no more bytes
-    will arrive, ``broken`` when the connection ended with an error: a response
-    that is delimited by the end of the connection is then incomplete.
+    will arrive, ``broken`` when it was not the server that closed the connection in
+    order: a response that is delimited by the end of the connection is then
+    incomplete.
     """
 
     def __init__(self, peer: str):
@@ -59,7 +60,7 @@
         return False
 
     def connection_lost(self, exc):
-        self.broken = self.broken or (exc is not None and not self.ended)
+        self.broken = self.broken or not self.ended
         self.mark_ended()
         self.writable.set()
 
@@ -72,8 +73,8 @@
     def mark_ended(self):
         """Signal the end of the stream to h11, once, and wake the reader.
 
-        h11 is not told if the connection broke, so that the end of a broken
-        connection does not complete a response.
+        h11 is not told if the connection broke, so that its end does not complete a
+        response.
         """
         if not self.ended:
             self.ended = True
@@ -149,7 +150,7 @@
     host, _, port = peer.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(to_seconds(timeout_ms)):
+        async with time_limit(timeout_ms):
             _transport, connection = await loop.create_connection(
                 lambda: ClientConnection(peer), host, int(port)
             )
@@ -158,15 +159,22 @@
     except OSError as error:
         raise ConnectionLost(str(error), step="connect", peer=peer) from error
     if user_timeout_ms is not None:
-        enable_dead_peer_detection(
-            connection.transport.get_extra_info("socket"), user_timeout_ms
-        )
+        set_user_timeout(connection, user_timeout_ms)
+        enable_keep_alive(connection.transport.get_extra_info("socket"))
     return connection
 
 
-def enable_dead_peer_detection(sock: socket.socket, user_timeout_ms: int) -> None:
-    """Make the kernel end a connection whose peer no longer responds."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+def set_user_timeout(connection: ClientConnection, timeout_ms: int) -> None:
+    """Set how long sent bytes may be unacknowledged before the kernel ends it.
+
+    The kernel counts a peer whose receive window is closed like one that is gone.
+    """
+    sock = connection.transport.get_extra_info("socket")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def enable_keep_alive(sock: socket.socket) -> None:
+    """Make the kernel end an idle connection whose peer no longer responds."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -1,28 +1,17 @@
 """An HTTP/1.1 server over h11 and asyncio, with one task per connection."""
 
 import asyncio
-import logging
-import re
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-import h11
+from pulley_base import Clock, to_seconds
 
-from pulley_base import Clock, Reason, log_event, to_seconds, warn_event
-
-from .models import Limits, Request, Response, find_header
-from .problems import RequestRefused, format_whole_seconds, problem_response
+from .models import Limits, Request, Response
+from .problems import RequestRefused, format_whole_seconds
+from .server_connections import HttpConnection
 
 Handler = Callable[[Request], Awaitable[Response]]
 
-READ_AHEAD_BYTES = 256 * 1024
-LINGER_MS = 1_000
-# Colon, blank and line end of each header line.
-HEADER_OVERHEAD_BYTES = len(": \r\n")
-FOLDED_LINE = re.compile(rb"\n[ \t]")
-
-logger = logging.getLogger(__name__)
-
 
 @dataclass(slots=True)
 class Server:
@@ -32,9 +21,10 @@
     limits: Limits
     clock: Clock
     on_refused: Callable[[RequestRefused], None]
+    on_unanswered: Callable[[], None]
     format_retry_after: Callable[[int], bytes] = format_whole_seconds
     listener: asyncio.Server | None = None
-    connections: set["HttpConnection"] = field(default_factory=set)
+    connections: set[HttpConnection] = field(default_factory=set)
     draining: bool = False
 
     @property
@@ -52,6 +42,7 @@
     limits: Limits | None = None,
     clock: Clock | None = None,
     on_refused: Callable[[RequestRefused], None] = lambda refusal: None,
+    on_unanswered: Callable[[], None] = lambda: None,
     format_retry_after: Callable[[int], bytes] = format_whole_seconds,
 ) -> Server:
     """Listen on ``host:port`` and answer each request with ``handler``.
@@ -59,10 +50,14 @@
     If the handler raises RequestRefused, the caller gets its problem document;
     any other exception becomes a 500. When the caller closes the connection,
     the task that runs the handler and sends the body is cancelled.
-    ``on_refused`` is called for each refusal, also for those of the server.
+    ``on_refused`` is called for each refusal, also for those of the server,
+    ``on_unanswered`` for each connection that the server itself ends while a request
+    on it has no whole answer.
     """
     limits, clock = limits or Limits(), clock or Clock()
-    server = Server(handler, limits, clock, on_refused, format_retry_after)
+    server = Server(
+        handler, limits, clock, on_refused, on_unanswered, format_retry_after
+    )
     loop = asyncio.get_running_loop()
     server.listener = await loop.create_server(
         lambda: HttpConnection(server), host, port, backlog=1024
@@ -79,352 +74,10 @@
     server.listener.close()
     for connection in list(server.connections):
         connection.close_if_idle()
-    tasks = [connection.task for connection in server.connections]
-    if not tasks:
+    closed = [connection.closed for connection in server.connections]
+    if not closed:
         return 0
-    _done, unfinished = await asyncio.wait(tasks, timeout=to_seconds(timeout_ms))
+    _done, unclosed = await asyncio.wait(closed, timeout=to_seconds(timeout_ms))
     for connection in list(server.connections):
         connection.abort()
-    return len(unfinished)
-
-
-class HttpConnection(asyncio.Protocol):
-    """One caller's connection.
-
-    ``handling`` is true while a handler runs or its response is being sent.
-    """
-
-    def __init__(self, server: Server):
-        self.server = server
-        self.h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
-        )
-        self.transport = None
-        self.task = None
-        self.peer = ""
-        self.handling = False
-        self.peer_closed = False
-        self.reading_paused = False
-        self.n_unread_bytes = 0
-        self.data_arrived = asyncio.Event()
-        self.writable = asyncio.Event()
-        self.writable.set()
-
-    def connection_made(self, transport):
-        self.transport = transport
-        self.peer = "%s:%s" % transport.get_extra_info("peername")[:2]
-        self.server.connections.add(self)
-        self.task = asyncio.get_running_loop().create_task(self.run())
-
-    def data_received(self, data: bytes):
-        self.n_unread_bytes += len(data)
-        try:
-            self.h11.receive_data(data)
-        except h11.RemoteProtocolError:
-            self.transport.close()
-        if self.n_unread_bytes > READ_AHEAD_BYTES and not self.reading_paused:
-            self.reading_paused = True
-            self.transport.pause_reading()
-        self.data_arrived.set()
-
-    def eof_received(self):
-        self.peer_closed = True
-        self.data_arrived.set()
-        if self.handling:
-            self.task.cancel()
-            return False
-        self.h11.receive_data(b"")
-        return True
-
-    def connection_lost(self, exc):
-        self.peer_closed = True
-        self.server.connections.discard(self)
-        self.writable.set()
-        self.data_arrived.set()
-        if self.handling:
-            self.task.cancel()
-
-    def pause_writing(self):
-        self.writable.clear()
-
-    def resume_writing(self):
-        self.writable.set()
-
-    def close_if_idle(self):
-        """Close the connection unless a request is being received or handled."""
-        if not self.handling and self.h11.their_state is h11.IDLE:
-            self.abort()
-
-    def abort(self):
-        """Close at once and cancel the request in flight, if any."""
-        self.task.cancel()
-        self.transport.abort()
-
-    async def run(self):
-        """Serve requests until the connection ends."""
-        try:
-            while await self.serve_request():
-                self.h11.start_next_cycle()
-        except (asyncio.CancelledError, ConnectionError):
-            pass
-        finally:
-            self.transport.close()
-            self.server.connections.discard(self)
-
-    async def serve_request(self) -> bool:
-        """Read and answer one request; return whether another may follow."""
-        try:
-            head = await self.read_head()
-            if head is None:
-                return False
-            request = self.build_request(head)
-            self.handling = True
-            response = await self.server.handler(request)
-        except RequestRefused as refusal:
-            self.server.on_refused(refusal)
-            response = self.refusal_response(refusal)
-        except h11.RemoteProtocolError as error:
-            refusal = parse_error_refusal(error)
-            self.server.on_refused(refusal)
-            response = self.refusal_response(refusal)
-        except Exception as error:
-            warn_event(logger, "handler_failed", peer=self.peer, error=repr(error))
-            logger.debug("handler_failed", exc_info=error)
-            response = Response(500, [(b"content-type", b"text/plain")], b"error\n")
-        await self.send_response(response)
-        self.handling = False
-        return self.is_reusable()
-
-    def refusal_response(self, refusal: RequestRefused) -> Response:
-        """Return the response for a refusal."""
-        return problem_response(refusal, self.server.format_retry_after)
-
-    def is_reusable(self) -> bool:
-        """Check whether the connection can carry another request."""
-        if self.server.draining or self.peer_closed:
-            return False
-        return self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
-
-    async def read_head(self) -> h11.Request | None:
-        """Return the next request's head, or None at the end of the connection.
-
-        None also if no head has begun within the idle timeout. Raises
-        RequestRefused if one has begun but is not complete within the head timeout.
-        """
-        limits = self.server.limits
-        event = self.next_head_event()
-        if event is h11.NEED_DATA:
-            timeout_ms = limits.idle_timeout_ms
-            if not await self.wait_for_data(timeout_ms):
-                return None
-            event = self.next_head_event()
-        started_ms = self.server.clock.now_ms()
-        while event is h11.NEED_DATA:
-            remaining_ms = (
-                started_ms + limits.head_timeout_ms - self.server.clock.now_ms()
-            )
-            if not await self.wait_for_data(remaining_ms):
-                raise RequestRefused(
-                    408, Reason.HEAD_TOO_SLOW, "the head took too long", step="head"
-                )
-            event = self.next_head_event()
-        return event if isinstance(event, h11.Request) else None
-
-    def next_head_event(self):
-        """Return h11's next event while a head is expected.
-
-        Raises RequestRefused on folded header lines, which HTTP/1.1 deprecates.
-        """
-        head, _, _ = self.h11.trailing_data[0].partition(b"\r\n\r\n")
-        if FOLDED_LINE.search(head):
-            raise RequestRefused(
-                400, Reason.BAD_REQUEST, "a header line is folded", step="head"
-            )
-        return self.next_event()
-
-    def next_event(self):
-        """Return h11's next event; resume reading once the buffer is empty."""
-        self.data_arrived.clear()
-        event = self.h11.next_event()
-        if event is h11.NEED_DATA:
-            self.n_unread_bytes = 0
-            if self.reading_paused:
-                self.reading_paused = False
-                self.transport.resume_reading()
-        return event
-
-    async def wait_for_data(self, timeout_ms: int) -> bool:
-        """Wait for bytes or the end of the stream; return False on a timeout."""
-        try:
-            async with asyncio.timeout(to_seconds(timeout_ms)):
-                await self.data_arrived.wait()
-        except TimeoutError:
-            return False
-        return True
-
-    def build_request(self, head: h11.Request) -> Request:
-        """Build the request for the handler, with its body unread.
-
-        Raises RequestRefused if its framing is invalid or it exceeds a limit.
-        """
-        check_framing(head)
-        if head_size_bytes(head) > self.server.limits.head_bytes:
-            raise head_too_large()
-        length = find_header(head.headers, b"content-length")
-        if length is not None and int(length) > self.server.limits.body_bytes:
-            raise self.body_too_large()
-        return Request(
-            method=head.method.decode("ascii"),
-            target=head.target.decode("ascii"),
-            headers=[(bytes(key), bytes(value)) for key, value in head.headers],
-            body=self.read_body(),
-            peer=self.peer,
-        )
-
-    def body_too_large(self) -> RequestRefused:
-        limit = self.server.limits.body_bytes
-        return RequestRefused(
-            413, Reason.BODY_TOO_LARGE, f"the body is over {limit} bytes", step="body"
-        )
-
-    async def read_body(self) -> AsyncIterator[bytes]:
-        """Yield the body's bytes as they arrive.
-
-        Raises RequestRefused if the body stalls or exceeds the limit.
-        """
-        n_bytes = 0
-        if self.h11.they_are_waiting_for_100_continue:
-            self.write(
-                self.h11.send(h11.InformationalResponse(status_code=100, headers=[]))
-            )
-        while True:
-            event = self.next_event()
-            if event is h11.NEED_DATA:
-                if not await self.wait_for_data(self.server.limits.body_timeout_ms):
-                    raise RequestRefused(
-                        408, Reason.BODY_TOO_SLOW, "the body stalled", step="body"
-                    )
-            elif isinstance(event, h11.Data):
-                n_bytes += len(event.data)
-                if n_bytes > self.server.limits.body_bytes:
-                    raise self.body_too_large()
-                yield bytes(event.data)
-            else:
-                return
-
-    async def send_response(self, response: Response):
-        """Send the response; close the connection early if its body fails."""
-        self.discard_unread_body()
-        if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        self.write(self.h11.send(self.build_response_head(response)))
-        if isinstance(response.body, bytes):
-            if response.body:
-                self.write(self.h11.send(h11.Data(data=response.body)))
-        else:
-            await self.stream_body(response.body)
-        self.write(self.h11.send(h11.EndOfMessage()))
-        await self.writable.wait()
-        if self.h11.our_state is h11.MUST_CLOSE:
-            await self.linger()
-
-    def discard_unread_body(self):
-        """Discard received bytes of a request body that the handler did not read."""
-        if self.h11.their_state is not h11.SEND_BODY:
-            return
-        try:
-            while isinstance(self.next_event(), h11.Data):
-                pass
-        except h11.RemoteProtocolError:
-            pass
-
-    async def stream_body(self, body: AsyncIterator[bytes]):
-        """Send the body's pieces as they are produced, with backpressure."""
-        try:
-            async for piece in body:
-                if piece:
-                    self.write(self.h11.send(h11.Data(data=piece)))
-                if not self.writable.is_set():
-                    await self.writable.wait()
-        except Exception as error:
-            log_event(logger, "answer_cut", peer=self.peer, error=repr(error))
-            self.transport.close()
-            raise ConnectionError("the response body was interrupted") from error
-        finally:
-            await body.aclose()
-
-    async def linger(self):
-        """Discard what the caller still sends, for up to ``LINGER_MS``.
-
-        Closing with unread bytes would reset the connection, and the caller
-        might not get to read the response.
-        """
-        self.transport.write_eof()
-        deadline_ms = self.server.clock.deadline_ms(LINGER_MS)
-        while not self.peer_closed and self.server.clock.now_ms() < deadline_ms:
-            self.data_arrived.clear()
-            if self.reading_paused:
-                self.reading_paused = False
-                self.transport.resume_reading()
-            await self.wait_for_data(deadline_ms - self.server.clock.now_ms())
-
-    def build_response_head(self, response: Response) -> h11.Response:
-        """Return the response head, with a content-length if the body is bytes."""
-        headers = list(response.headers)
-        if isinstance(response.body, bytes):
-            if find_header(headers, b"content-length") is None:
-                headers.append((b"content-length", b"%d" % len(response.body)))
-        request_unread = not self.handling or self.h11.their_state is not h11.DONE
-        if self.server.draining or request_unread:
-            headers.append((b"connection", b"close"))
-        return h11.Response(status_code=response.status, headers=headers)
-
-    def write(self, data: bytes | None):
-        if data and not self.transport.is_closing():
-            self.transport.write(data)
-
-
-def check_framing(head: h11.Request) -> None:
-    """Raise RequestRefused if the framing of the body is ambiguous or invalid.
-
-    A request must not have both transfer-encoding and content-length, and
-    chunked encoding needs HTTP/1.1.
-    """
-    transfer_encoding = find_header(head.headers, b"transfer-encoding")
-    if transfer_encoding is None:
-        return
-    if find_header(head.headers, b"content-length") is not None:
-        raise RequestRefused(
-            400, Reason.BAD_REQUEST, "the body has two framings", step="head"
-        )
-    if head.http_version != b"1.1":
-        raise RequestRefused(
-            400, Reason.BAD_REQUEST, "chunks need HTTP/1.1", step="head"
-        )
-
-
-def head_size_bytes(head: h11.Request) -> int:
-    """Return the size of a head in bytes, without optional white space."""
-    sizes = (
-        len(key) + len(value) + HEADER_OVERHEAD_BYTES for key, value in head.headers
-    )
-    return len(head.target) + sum(sizes)
-
-
-def head_too_large() -> RequestRefused:
-    """Return the refusal of a head that is over the limit.
-
-    h11 rejects a long incomplete head only; one that arrives all at once is
-    measured by the server.
-    """
-    return RequestRefused(
-        431, Reason.HEAD_TOO_LARGE, "the head is too large", step="head"
-    )
-
-
-def parse_error_refusal(error: h11.RemoteProtocolError) -> RequestRefused:
-    """Return the refusal for bytes that h11 rejected."""
-    status = error.error_status_hint
-    if status == 431:
-        return head_too_large()
-    return RequestRefused(status, Reason.BAD_REQUEST, str(error), step="parse")
+    return len(unclosed)
