Look at few reports when one has to make room

A router took 606 ms in one piece to read one entry of another router, and over 60 s of processor time for 150 of 600 entries, if many endpoints are lost twice in succession and prompts share their first parts: each new report had all 256 held ones looked at, and each of these all others.

Cause: a shared first part has the score of a quarantine then, though none comes of it, so no report was found that could give way at once.

Change: the 32 oldest reports are looked at, by their keys' scores alone.

--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 
 # Crashes in succession after which a key is quarantined; one may be chance.
 QUARANTINE_SCORE = 2
@@ -20,6 +21,7 @@
 HOLD_MS = 300_000
 MAX_REPORTS = 256
 MAX_EXPIRED_REPORTS = 1_024
+MAX_SPARED_REPORTS = 32
 MAX_SOUND_KEYS = 1_024
 MAX_CLEARED_KEYS = 256
 MAX_CLEARED_CRASHES = 256
@@ -143,7 +145,7 @@
     if lost.id in evidence.reports or lost.id in evidence.expired:
         return False
     if len(evidence.reports) >= MAX_REPORTS:
-        remove_report(evidence, find_replaceable(evidence, now_ms))
+        remove_report(evidence, find_replaceable(evidence))
     evidence.reports[lost.id] = Held(lost, now_ms + HOLD_MS)
     for suspect in lost.suspects:
         if lost.crash not in evidence.cleared.get(suspect.key, ()):
@@ -163,15 +165,18 @@
         drop_first(evidence.expired, MAX_EXPIRED_REPORTS)
 
 
-def find_replaceable(evidence: Evidence, now_ms: int) -> tuple[str, str]:
+def find_replaceable(evidence: Evidence) -> tuple[str, str]:
     """Return the id of the oldest report that quarantines nothing.
 
     No request with a quarantined key is sent any more, so the reports about it are
-    the oldest ones. If all reports are needed, the oldest gives way.
+    the oldest ones. Only some of these are looked at; if all are needed, the oldest
+    gives way.
     """
-    for held in evidence.reports.values():
-        keys = (suspect.key for suspect in held.lost.suspects)
-        if find_quarantined(evidence, keys, now_ms) is None:
+    for held in islice(evidence.reports.values(), MAX_SPARED_REPORTS):
+        if not any(
+            score_key(evidence, suspect.key) >= QUARANTINE_SCORE
+            for suspect in held.lost.suspects
+        ):
             return held.lost.id
     return next(iter(evidence.reports))
 
