--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
 
 import h11
 
@@ -21,52 +20,31 @@
     allow_late_reading,
     close_channel,
     connect_channel,
-    release_channel,
     take_idle,
 )
+from .exchanges import (
+    MAX_BODY_BYTES,
+    MAX_PIECES_PER_TURN,
+    Exchange,
+    failure_reason,
+)
 from .jobs import AttemptFailed, Job
 from .loads import get_state, record_report
 from .models import AnswerMetadata, AttemptParameters, Endpoint
 from .placing import Target
 from .routers import Router
-from .waits import AnswerTimeout, wait_for_bytes
+from .waits import wait_for_bytes
 
 logger = logging.getLogger(__name__)
 
-# Larger than any answer that is buffered whole, and a small part of a router's
-# memory.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 # Informational answers, and those to earlier requests, that may come before the
 # expected one: far more than a sound endpoint sends.
 MAX_SKIPPED_ANSWERS = 16
-# Pieces of a body that are parsed before other tasks get a turn: some milliseconds
-# of work if an endpoint sends very small chunks.
-MAX_PIECES_PER_TURN = 256
-MISDIRECTED_STATUS = 421
-NO_CONTENT_STATUS = 204
-FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Endpoints reset connections over their limit; the rest is for routers that are just
 # starting or stopping, which also hold connections.
 CHANNEL_LIMIT_SHARE = 0.9
 
 
-@dataclass(slots=True)
-class Exchange:
-    """An answer whose head was read, and the channel that its body arrives on.
-
-    ``last_read_ms`` is the clock reading at which its last bytes were read.
-    """
-
-    router: Router
-    endpoint: Endpoint
-    channel: Channel
-    status: int
-    headers: Headers
-    metadata: AnswerMetadata
-    last_read_ms: int
-    finished: bool = False
-
-
 async def start_exchange(
     router: Router, job: Job, target: Target, last_event_id: int | None
 ) -> Exchange:
@@ -183,13 +161,6 @@
     )
 
 
-def failure_reason(error: PulleyError) -> Reason:
-    """Return why an attempt that reached its endpoint failed."""
-    if not isinstance(error, AnswerTimeout):
-        return Reason.CONNECTION_LOST
-    return Reason.STALLED if error.before_deadline else Reason.DEADLINE
-
-
 def build_request_headers(
     router: Router,
     job: Job,
@@ -314,76 +285,3 @@
         connection.h11.receive_data(trailing)
     if connection.ended and not connection.broken:
         connection.h11.receive_data(b"")
-
-
-async def read_chunk(exchange: Exchange, job: Job) -> bytes | None:
-    """Return the bytes of the body that are available, None at its end.
-
-    After ``MAX_PIECES_PER_TURN`` pieces other tasks get a turn.
-    Raises ConnectionLost if the body is cut, AnswerTimeout if no bytes arrived in
-    time.
-    """
-    connection = exchange.channel.connection
-    chunks = []
-    while True:
-        event = parse_event(connection, "body")
-        if isinstance(event, h11.Data):
-            chunks.append(bytes(event.data))
-            exchange.last_read_ms = exchange.router.clock.now_ms()
-            if len(chunks) == MAX_PIECES_PER_TURN:
-                await asyncio.sleep(0)
-                return b"".join(chunks)
-        elif chunks and event is h11.NEED_DATA:
-            return b"".join(chunks)
-        elif event is h11.NEED_DATA:
-            await wait_for_bytes(exchange.router, job, exchange.endpoint, connection)
-        elif isinstance(event, h11.EndOfMessage):
-            exchange.finished = True
-            return b"".join(chunks) if chunks else None
-        else:
-            peer = exchange.channel.address
-            raise ConnectionLost("closed in mid-answer", step="body", peer=peer)
-
-
-async def read_whole_body(exchange: Exchange, job: Job) -> bytes:
-    """Read an answer's body to its end.
-
-    Raises AttemptFailed if the body is cut, late or larger than ``MAX_BODY_BYTES``.
-    """
-    chunks = []
-    n_bytes = 0
-    try:
-        while not exchange.finished:
-            chunk = await read_chunk(exchange, job)
-            if chunk is not None:
-                chunks.append(chunk)
-                n_bytes += len(chunk)
-            if n_bytes > MAX_BODY_BYTES:
-                raise ConnectionLost("the answer is too large", step="body")
-    except PulleyError as error:
-        raise AttemptFailed(
-            failure_reason(error), str(error), exchange.endpoint, answer_began=True
-        ) from error
-    return b"".join(chunks)
-
-
-def shows_its_end(exchange: Exchange, job: Job) -> bool:
-    """Check whether an answer says itself where it ends.
-
-    One with neither a length nor chunks ends with its connection, as does one that
-    its endpoint broke off.
-    """
-    if job.call.method == "HEAD" or exchange.status == NO_CONTENT_STATUS:
-        return True
-    return any(name.lower() in FRAMING_HEADERS for name, _value in exchange.headers)
-
-
-def end_exchange(exchange: Exchange) -> None:
-    """Release the channel of a finished exchange, close that of an incomplete one."""
-    state = get_state(exchange.router.loads, exchange.endpoint.name)
-    state.in_flight -= 1
-    pool = exchange.router.pool
-    if exchange.finished:
-        release_channel(pool, exchange.channel, exchange.metadata.idle_timeout_ms)
-    else:
-        close_channel(pool, exchange.channel)
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -5,19 +5,14 @@
 from pulley_base import Outcome, Reason, log_event
 from pulley_http import RequestRefused, Response, drop_hop_by_hop_headers
 
-from .attempts import (
-    MISDIRECTED_STATUS,
-    Exchange,
-    end_exchange,
-    read_whole_body,
-    start_exchange,
-)
+from .attempts import start_exchange
 from .budgets import earn_retry, spend_retry
 from .crashes import (
     find_quarantine,
     record_loss,
     retry_after_quarantine_ms,
 )
+from .exchanges import Exchange, end_exchange, read_whole_body
 from .jobs import AttemptFailed, Job
 from .loads import get_state, record_success
 from .models import Call, RetryClass
@@ -32,6 +27,7 @@
 # that wait a second can still retry within it.
 RETRY_AFTER_MS = 200
 FIRST_NON_SUCCESS_STATUS = 300
+MISDIRECTED_STATUS = 421
 FIRST_SERVER_ERROR_STATUS = 500
 MAX_LOGGED_PARTS = 8
 # Characters of a part's digest in a log line.
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -8,15 +8,15 @@
 from pulley_http import Response, drop_hop_by_hop_headers
 from pulley_http.connections import ClientConnection, read_more
 
-from .attempts import (
+from .crashes import record_good_answer
+from .events import EventBuffer, is_inside_event, take_events, take_rest
+from .exchanges import (
     Exchange,
     end_exchange,
     failure_reason,
     read_chunk,
     shows_its_end,
 )
-from .crashes import record_good_answer
-from .events import EventBuffer, is_inside_event, take_events, take_rest
 from .jobs import AttemptFailed, Job
 from .loads import record_success
 from .models import Endpoint
