Start the program under test with the default effect of SIGHUP

Traced: the steps take a program that ignores SIGHUP for one that has set up its signals; under nohup SIGHUP is ignored from the first moment, so SIGTERM was sent before the program had blocked it.

Change: the steps start the program with SIGHUP at its default. Nothing else is checked, and nothing less.

Evidence: under nohup tests/adapter/early_stops fails without the change and the whole suite passes with it.

--- a/tests/adapter/steps/programs.py
+++ b/tests/adapter/steps/programs.py
@@ -1,8 +1,10 @@
 """The router's program: its settings file and its process."""
 
 import os
+import signal
 import subprocess
 import sys
+from functools import partial
 
 EXIT_TIMEOUT_S = 15
 SETTINGS = """
@@ -29,7 +31,8 @@
 def start_command(command, path, **variables):
     """Start a command that runs the router's program with a settings file.
 
-    ``variables`` are added to the environment.
+    ``variables`` are added to the environment. SIGHUP has its default effect, also if
+    the tests run where it is ignored, as the steps wait until the program ignores it.
     """
     environment = os.environ | {"PLANTAINPULLEY_BOOT": str(path)} | variables
     return subprocess.Popen(
@@ -38,4 +41,5 @@
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
         text=True,
+        preexec_fn=partial(signal.signal, signal.SIGHUP, signal.SIG_DFL),
     )
