Let a crash probe see a close that arrived while the router was busy

Seen: an endpoint that closed the probe's connection as it died counted as up, if the router's event loop was busy at the time; its crash then went unreported.

Cause: the probe was the last wait of the router with a plain timeout, which wins over what has arrived in the same turn of the loop.

Change: the probe waits like everything else.

Evidence: tests/direct/busy_probes failed before and passes now; the suites of the crashing part pass, 14 scenarios.

--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -4,7 +4,7 @@
 from hashlib import blake2b
 
 from pulley_base import PulleyError, Reason, to_seconds
-from pulley_http.connections import ClientConnection, open_connection, read_more
+from pulley_http.connections import ClientConnection, open_connection
 from pulley_policy.crashes import (
     Scores,
     blame,
@@ -18,6 +18,7 @@
 from .jobs import AttemptFailed, Job
 from .models import Endpoint, RetryClass
 from .routers import Router
+from .waits import read_within
 
 # Longer digests and longer prompts are truncated.
 MAX_DIGEST_LENGTH = 64
@@ -119,10 +120,7 @@
 async def ends_soon(connection: ClientConnection) -> bool:
     """Check whether the other side closes an unused connection at once."""
     try:
-        async with asyncio.timeout(to_seconds(PROBE_OPEN_MS)):
-            await read_more(connection, "probe")
-    except TimeoutError:
-        return False
+        await read_within(connection, PROBE_OPEN_MS, PROBE_OPEN_MS)
     except PulleyError:
         return True
     return connection.ended
