Give processes in tests ports that the kernel assigns to no one else

Its log went with the scenario's folder.

Cause, by a run: a port was chosen by binding port 0 and closing the socket again, so until the router listened (0.1 s or more) the kernel could give the port to any socket of the suites that run beside it. A start with the port taken ends with "address already in use" and gives the same traceback at the same line. That it was this in the failed run is inferred from that, its log is lost.

reserve_address takes ports below the kernel's range for unnamed ports and holds each with a datagram socket for as long as the process lives, so no other suite gets it either, and a restarted router finds it free.

--- a/tests/adapter/steps/early_stops.py
+++ b/tests/adapter/steps/early_stops.py
@@ -7,7 +7,7 @@
 
 from behave import then, when
 from programs import EXIT_TIMEOUT_S, SETTINGS, start_command
-from pulley_platform_standins.processes import free_address
+from pulley_platform_standins.processes import reserve_address
 
 # Each point is the first call of a function, by its file and its qualified name, after
 # the program has set up how it handles signals.
@@ -56,7 +56,7 @@
     file, name = POINTS[point]
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "local.toml"
-        front, ready = free_address(), free_address()
+        front, ready = reserve_address(), reserve_address()
         path.write_text(
             SETTINGS.format(
                 low=1, high=2, front=front, ready=ready, store="127.0.0.1:9"
--- a/tests/adapter/steps/runs.py
+++ b/tests/adapter/steps/runs.py
@@ -11,7 +11,7 @@
 from behave import then, when
 from programs import EXIT_TIMEOUT_S, SETTINGS, start_program
 from pulley_platform_standins.endpoints import list_endpoint, start_endpoint
-from pulley_platform_standins.processes import free_address, wait_ready
+from pulley_platform_standins.processes import reserve_address, wait_ready
 from pulley_platform_standins.stores import put_item, start_store
 from samples import CONFIGURATION
 
@@ -63,7 +63,7 @@
     shop = await start_endpoint("shop-0", "shop")
     list_endpoint(store, shop)
     put_item(store, "op/config", json.dumps(CONFIGURATION).encode())
-    front, ready = free_address(), free_address()
+    front, ready = reserve_address(), reserve_address()
     path.write_text(
         SETTINGS.format(
             low=7_000, high=7_015, front=front, ready=ready, store=store.address
@@ -114,8 +114,8 @@
         text = SETTINGS.format(
             low=1,
             high=2,
-            front=free_address(),
-            ready=free_address(),
+            front=reserve_address(),
+            ready=reserve_address(),
             store=store.address,
         )
         path.write_text(text)
--- a/tests/adapter/steps/starts.py
+++ b/tests/adapter/steps/starts.py
@@ -9,7 +9,7 @@
 
 from behave import then, when
 from programs import EXIT_TIMEOUT_S, SETTINGS, start_program
-from pulley_platform_standins.processes import free_address, wait_ready
+from pulley_platform_standins.processes import reserve_address, wait_ready
 from pulley_platform_standins.stores import put_item, start_store
 from samples import CONFIGURATION
 
@@ -37,10 +37,10 @@
     async def run_router(path):
         store = await start_store()
         put_item(store, "op/config", json.dumps(CONFIGURATION).encode())
-        ready = free_address()
+        ready = reserve_address()
         path.write_text(
             SETTINGS.format(
-                low=1, high=2, front=free_address(), ready=ready, store=store.address
+                low=1, high=2, front=reserve_address(), ready=ready, store=store.address
             )
         )
         process = start_program(path)
@@ -71,8 +71,8 @@
             SETTINGS.format(
                 low=1,
                 high=2,
-                front=free_address(),
-                ready=free_address(),
+                front=reserve_address(),
+                ready=reserve_address(),
                 store="127.0.0.1:9",
             )
         )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -30,7 +30,7 @@
 from pulley_platform_standins.processes import (  # noqa: E402
     READY_MS,
     ROUTER_SETTINGS,
-    free_address,
+    reserve_address,
     wait_ready,
 )
 from pulley_platform_standins.stores import (  # noqa: E402
@@ -202,7 +202,7 @@
     """Start one router that reaches the store through its own relay."""
     relay = await open_relay(fleet.store.address)
     fleet.relays.append(relay)
-    front_address, ready_address = free_address(), free_address()
+    front_address, ready_address = reserve_address(), reserve_address()
     path = fleet.folder / f"{name}.toml"
     path.write_text(
         SETTINGS.format(
