Report a router that ends at its start, with its status and log, in the soak

A router that ended before it handled SIGTERM made the soak fail with FileNotFoundError on /proc, and one that ended later was only "not ready"; neither said why, and the log went with the folder. Both are now reported with the exit status and the last lines of the log.

The soak waited until SIGTERM was caught. Since the program blocks it in its first line and installs the handler after the imports, it had stopped sending SIGTERM during the imports. It now sends it as soon as the signal is blocked or caught, as before that.

--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -16,3 +16,8 @@
     Examples: Seeds that failed once
       | seed | seconds |
       | 53   | 8       |
+
+  # Guards against a start that fails without a word on why.
+  Scenario: A router that can't listen is reported with its own error
+    When a router's address is taken before it starts
+    Then a violation says "address already in use"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,6 +53,8 @@
 FAULT_FREE_S = 1.5
 CLOSE_DELAY_S = 0.1
 PATIENCE_MS = 4_000
+# Characters of a log that are shown of a router that ended at its start.
+LOG_END_LENGTH = 2_000
 SETTINGS = (
     ROUTER_SETTINGS
     + """
@@ -150,7 +152,10 @@
 
 
 async def start_process(slot: Slot) -> None:
-    """Start a router in its slot; its log goes to a file beside its settings."""
+    """Start a router in its slot; its log goes to a file beside its settings.
+
+    Raises RuntimeError with the end of the log if the process ends at once.
+    """
     environment = os.environ | {"PLANTAINPULLEY_BOOT": str(slot.settings)}
     with slot.settings.with_suffix(".log").open("ab") as log:
         slot.process = await asyncio.create_subprocess_exec(
@@ -161,20 +166,38 @@
             stdout=log,
             stderr=subprocess.STDOUT,
         )
-    await wait_for_sigterm_handler(slot.process)
+    if not await wait_for_sigterm_handling(slot.process):
+        await slot.process.wait()
+        raise RuntimeError(describe_process(slot))
+
+
+def describe_process(slot: Slot) -> str:
+    """Say whether a router's process has ended, with which status and last lines."""
+    status = slot.process.returncode
+    if status is None:
+        return f"{slot.name} is running"
+    text = slot.settings.with_suffix(".log").read_text(errors="replace")
+    return f"{slot.name} exited with status {status}:\n{text[-LOG_END_LENGTH:]}"
 
 
-async def wait_for_sigterm_handler(process: Process) -> None:
-    """Wait until a process catches SIGTERM, which is set up in the first line it runs.
+async def wait_for_sigterm_handling(process: Process) -> bool:
+    """Wait until a process blocks or catches SIGTERM; return False if it has ended.
 
-    Before that line the interpreter is still loading, and the signal has the kernel's
-    default action, whatever the program does.
+    The program blocks it in the first line it runs. Before that line the interpreter
+    is still loading, and the signal has the kernel's default action.
     """
     status = Path(f"/proc/{process.pid}/status")
-    while process.returncode is None:
-        rows = dict(row.split(":", 1) for row in status.read_text().splitlines())
-        if int(rows["SigCgt"], 16) & 1 << (signal.SIGTERM - 1):
-            return
+    while True:
+        try:
+            text = status.read_text()
+        except (FileNotFoundError, ProcessLookupError):
+            return False
+        rows = dict(row.split(":", 1) for row in text.splitlines())
+        masks = int(rows["SigBlk"], 16) | int(rows["SigCgt"], 16)
+        if masks & 1 << (signal.SIGTERM - 1):
+            return True
+        if rows["State"].split()[0] == "Z":
+            return False
         await asyncio.sleep(0.002)
 
 
@@ -202,35 +225,42 @@
     """Start one router that reaches the store through its own relay."""
     relay = await open_relay(fleet.store.address)
     fleet.relays.append(relay)
-    front_address, ready_address = reserve_address(), reserve_address()
     path = fleet.folder / f"{name}.toml"
-    path.write_text(
+    slot = Slot(name, reserve_address(), reserve_address(), path)
+    write_settings(slot, relay_address(relay))
+    fleet.slots.append(slot)
+    await start_process(slot)
+
+
+def write_settings(slot: Slot, store_address: str) -> None:
+    """Write the settings file of a router."""
+    slot.settings.write_text(
         SETTINGS.format(
-            name=name,
-            front=front_address,
-            ready=ready_address,
-            store=relay_address(relay),
+            name=slot.name,
+            front=slot.front_address,
+            ready=slot.ready_address,
+            store=store_address,
             grace=GRACE_S,
             revoke=REVOKE_MS,
             configuration=CONFIGURATION_MS,
         )
     )
-    slot = Slot(name, front_address, ready_address, path)
-    fleet.slots.append(slot)
-    await start_process(slot)
 
 
-async def wait_all_ready(fleet: Fleet) -> None:
+async def wait_all_ready(fleet: Fleet, limit_ms: int = READY_MS) -> None:
     """Wait until every router reports ready; record a violation for each that does not.
 
-    All routers together have 10 s.
+    ``limit_ms`` is for all routers together.
     """
     client = Client()
-    deadline_ms = fleet.clock.deadline_ms(READY_MS)
+    deadline_ms = fleet.clock.deadline_ms(limit_ms)
     for slot in fleet.slots:
         left_ms = deadline_ms - fleet.clock.now_ms()
         if not await wait_ready(client, slot.ready_address, left_ms):
-            fleet.violations.append(f"{slot.name} did not become ready within 10 s")
+            fleet.violations.append(
+                f"{slot.name} did not become ready within {limit_ms} ms: "
+                + describe_process(slot)
+            )
     close_client(client)
 
 
--- a/tests/soak/steps/soaks.py
+++ b/tests/soak/steps/soaks.py
@@ -1,6 +1,7 @@
 """Steps that run one short soak and check its result."""
 
 import asyncio
+import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -9,7 +10,15 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 
-from soak import run_seed  # noqa: E402
+from soak import (  # noqa: E402
+    Fleet,
+    Slot,
+    reserve_address,
+    run_seed,
+    start_process,
+    wait_all_ready,
+    write_settings,
+)
 
 
 @when("routers run for {seconds:d} s under the faults of seed {seed:d}")
@@ -28,3 +37,31 @@
     served = [sent for sent in context.fleet.sent if sent.answer.status == 200]
     assert any(sent.after_faults for sent in served)
     assert any(not sent.after_faults for sent in served)
+
+
+@when("a router's address is taken before it starts")
+def start_on_taken_address(context):
+    async def start(folder, front_address):
+        fleet = Fleet(None, folder)
+        path = folder / "router-0.toml"
+        slot = Slot("router-0", front_address, reserve_address(), path)
+        write_settings(slot, store_address="127.0.0.1:9")
+        fleet.slots.append(slot)
+        await start_process(slot)
+        await slot.process.wait()
+        await wait_all_ready(fleet, limit_ms=100)
+        return fleet
+
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        socket.create_server(("127.0.0.1", 0)) as listener,
+    ):
+        ip, port = listener.getsockname()
+        context.fleet = asyncio.run(start(Path(folder), f"{ip}:{port}"))
+
+
+@then('a violation says "{text}"')
+def check_violation(context, text):
+    assert any(text in one for one in context.fleet.violations), (
+        context.fleet.violations
+    )
