Start the parts that routers and agents share in one module

pulley_fleet.common_parts builds that state, opens the port and starts the loops for both. What only one of them has stays in its app: an agent advances the window, a router also waits for a peer. The order of the control handlers is unchanged. Two of an agent's own loops now start after the four shared ones instead of between them; none of them waits for another.

--- a/packages/agent/src/pulley_agent/app.py
+++ b/packages/agent/src/pulley_agent/app.py
@@ -3,46 +3,31 @@
 import asyncio
 import logging
 import secrets
-from random import Random
 
 from pulley_base import Clock, configure_logs, log_event, to_seconds
-from pulley_fleet.admin import start_admin
-from pulley_fleet.counters import (
-    REFUSALS,
-    count_store_call,
-    publish_traffic,
-    sum_by_reason,
+from pulley_fleet.common_parts import (
+    CommonParts,
+    build_parts,
+    follow_fleet,
+    list_missing_parts,
+    open_port,
+    start_status_pages,
 )
+from pulley_fleet.counters import REFUSALS, sum_by_reason
 from pulley_fleet.followers import Follower
-from pulley_fleet.members import Members, follow_list, list_processes
-from pulley_fleet.ports import (
-    ControlHandlers,
-    dispatch_connection_control,
-    open_peer_port,
-)
+from pulley_fleet.members import Members
+from pulley_fleet.ports import dispatch_connection_control
 from pulley_fleet.processes import (
-    BackgroundTasks,
     cancel_tasks,
     start_task,
     tune_garbage_collector,
     watch_signals,
 )
-from pulley_fleet.rules_reads import (
-    announce_revision_forever,
-    connect_follower,
-    follow_rules,
-)
-from pulley_fleet.settings import digest_fleet, split_address
-from pulley_fleet.statuses import answer_status
-from pulley_fleet.windows import Window, follow_window
-from pulley_http import Client
-from pulley_platform.stores import Store
 from pulley_policy.admission import find_bound
 from pulley_policy.answers import HeldAnswers
 from pulley_policy.gates import Gate, estimate_mean
 from pulley_policy.loads import LoadCount
 from pulley_policy.suspects import Suspects
-from pulley_wire import FrameStamp
 from pulley_wire.messages import Hello
 
 from .admission import DEFAULT_CAPACITY_REQUESTS, Admission
@@ -77,31 +62,17 @@
 
 async def run_agent(settings: AgentSettings) -> int:
     """Start the components of the agent, serve, and drain on a signal."""
-    clock = Clock()
-    stamp = FrameStamp(fleet=digest_fleet(settings.fleet))
-    client = Client(clock=clock)
-    store = Store(client, (settings.store,), on_call=count_store_call)
-    follower = Follower(stamp, clock)
-    members = Members(clock, settings.service)
-    window = Window(store)
-    sessions = make_sessions(settings, clock, stamp, client, follower, window)
-    publish_traffic(sessions.traffic)
-    background = BackgroundTasks()
+    parts = build_parts(settings, settings.service)
+    members, control, background = parts.members, parts.control, parts.background
+    sessions = make_sessions(settings, parts)
     stop, stop_now = watch_signals()
-    control = ControlHandlers()
     sessions.on_control = lambda connection, frame: dispatch_connection_control(
         control, connection, frame
     )
-    port = await open_peer_port(
-        *split_address(settings.peer),
-        lambda: make_connection(sessions),
-        control,
-        stamp=stamp,
-        traffic=sessions.traffic,
-    )
+    port = await open_port(parts, lambda: make_connection(sessions), sessions.traffic)
     sessions.hello.sender = port.address
     sessions.claims.address = port.address
-    gossip = Gossip(sessions.admission, members, settings.data_centre, clock)
+    gossip = Gossip(sessions.admission, members, settings.data_centre, parts.clock)
     if settings.placement == HOME_PLACEMENT:
         start_gossip(gossip, port.address, port.datagrams)
         control.handlers.append(
@@ -113,43 +84,18 @@
     control.handlers.append(
         lambda peer, frame, reply: handle_suspects(crash_gossip, peer, frame, reply)
     )
-    watch = EngineWatch(sessions.admission, client, settings.engine)
+    watch = EngineWatch(sessions.admission, parts.client, settings.engine)
     start_task(background, watch_engine(watch), "engine")
-
-    def status() -> dict:
-        return describe_agent(sessions, follower)
-
-    control.handlers.append(
-        lambda peer, frame, reply: answer_status(status, frame, reply)
-    )
-    admin = await start_admin(
-        *split_address(settings.admin),
-        missing=lambda: list_missing_parts(follower, members),
-        status=status,
-    )
-    connect_follower(
-        follower, control, port, sessions.traffic, lambda: list_processes(members)
-    )
-    start_task(background, follow_rules(follower, store), "rules")
-    start_task(
-        background,
-        follow_window(
-            window, lambda: len(list_processes(members)), settings.claim_window_s
-        ),
-        "window",
+    admin = await start_status_pages(
+        parts,
+        missing=lambda: list_missing_parts(parts),
+        status=lambda: describe_agent(sessions, parts.follower),
     )
+    follow_fleet(parts, port, sessions.traffic, settings.claim_window_s)
     start_task(background, follow_suspects(sessions.crash_watch), "suspects")
     start_task(
         background, run_housekeeping(sessions, members, settings), "housekeeping"
     )
-    start_task(background, announce_revision_forever(follower), "rules-greetings")
-    start_task(
-        background,
-        follow_list(
-            members, client, settings.instances, settings.data_centre, Random()
-        ),
-        "instances",
-    )
     tune_garbage_collector()
     log_event(
         logger,
@@ -160,22 +106,16 @@
         engine=settings.engine,
     )
     await stop.wait()
-    exporter = Exporter(gossip, client, settings.engine, sessions.hello)
+    exporter = Exporter(gossip, parts.client, settings.engine, sessions.hello)
     n_cut = await drain(sessions, settings.drain_ms, stop_now, exporter)
     await cancel_tasks(background)
     log_event(logger, "stopped", n_cut=n_cut)
     return 0
 
 
-def make_sessions(
-    settings: AgentSettings,
-    clock: Clock,
-    stamp: FrameStamp,
-    client: Client,
-    follower: Follower,
-    window: Window,
-) -> Sessions:
+def make_sessions(settings: AgentSettings, parts: CommonParts) -> Sessions:
     """Build the state that the connections of all routers share."""
+    clock, window = parts.clock, parts.window
     hello = Hello(
         sender=settings.peer,
         role="agent",
@@ -186,11 +126,11 @@
     )
     return Sessions(
         hello,
-        stamp,
+        parts.stamp,
         clock,
-        client,
+        parts.client,
         settings.engine,
-        make_admission(settings, clock, follower),
+        make_admission(settings, clock, parts.follower),
         settings.held_answer_bytes,
         Claims(
             window,
@@ -279,16 +219,6 @@
     return n_cut
 
 
-def list_missing_parts(follower: Follower, members: Members) -> list[str]:
-    """Return the names of what the agent still needs before it is ready."""
-    missing = []
-    if follower.rules.revision == 0:
-        missing.append("rules")
-    if members.n_reads == 0:
-        missing.append("instance list")
-    return missing
-
-
 def describe_load(admission: Admission) -> dict:
     """Return the engine's load, its capacity and its bound, in units of work."""
     gate = admission.gate
--- a/packages/router/src/pulley_router/app.py
+++ b/packages/router/src/pulley_router/app.py
@@ -3,49 +3,33 @@
 import asyncio
 import logging
 import secrets
-from random import Random
-
-from pulley_base import Clock, configure_logs, log_event
-from pulley_fleet.admin import start_admin
-from pulley_fleet.counters import (
-    REFUSALS,
-    count_store_call,
-    publish_traffic,
-    sum_by_reason,
+
+from pulley_base import configure_logs, log_event
+from pulley_fleet.common_parts import (
+    CommonParts,
+    build_parts,
+    follow_fleet,
+    list_missing_parts,
+    open_port,
+    start_status_pages,
 )
-from pulley_fleet.followers import Follower
+from pulley_fleet.counters import REFUSALS, sum_by_reason
 from pulley_fleet.members import (
     Members,
-    follow_list,
-    list_processes,
     mark_leaving,
     record_connection_loss,
     record_hello,
 )
-from pulley_fleet.ports import (
-    ControlHandlers,
-    dispatch_connection_control,
-    open_peer_port,
-)
+from pulley_fleet.ports import dispatch_connection_control
 from pulley_fleet.processes import (
-    BackgroundTasks,
     cancel_tasks,
-    start_task,
     tune_garbage_collector,
     watch_signals,
 )
-from pulley_fleet.rules_reads import (
-    announce_revision_forever,
-    connect_follower,
-    follow_rules,
-)
-from pulley_fleet.settings import digest_fleet, split_address
-from pulley_fleet.statuses import answer_status
-from pulley_fleet.windows import Window, follow_window
-from pulley_http import Client, Limits, Server, drain_server, start_server
-from pulley_platform.stores import Store
+from pulley_fleet.settings import split_address
+from pulley_http import Limits, Server, drain_server, start_server
 from pulley_policy.baselines import PLACEMENTS
-from pulley_wire import Frame, FrameStamp
+from pulley_wire import Frame
 from pulley_wire.messages import Hello
 
 from .dispatchers import Dispatcher
@@ -64,72 +48,36 @@
 
 async def run_router(settings: RouterSettings) -> int:
     """Start the router's parts, serve, and shut down gracefully on a signal."""
-    clock = Clock()
-    stamp = FrameStamp(fleet=digest_fleet(settings.fleet))
-    client = Client(clock=clock)
-    store = Store(client, (settings.store,), on_call=count_store_call)
-    follower = Follower(stamp, clock)
-    members = Members(clock)
-    window = Window(store)
-    peers = Peers(make_hello(settings), stamp, clock)
+    parts = build_parts(settings)
+    members, control = parts.members, parts.control
+    peers = Peers(make_hello(settings), parts.stamp, parts.clock)
     peers.on_draining = lambda peer: mark_leaving(members, peer)
     peers.on_lost = lambda peer: record_connection_loss(members, peer)
-    control = ControlHandlers(
-        [lambda peer, frame, reply: record_agent_hello(members, peer, frame)]
+    peers.on_control = lambda connection, frame: dispatch_connection_control(
+        control, connection, frame
+    )
+    control.handlers.append(
+        lambda peer, frame, reply: record_agent_hello(members, peer, frame)
     )
     dispatcher = Dispatcher(
         peers,
         members,
-        clock,
-        follower,
-        window,
+        parts.clock,
+        parts.follower,
+        parts.window,
         settings.data_centre,
         PLACEMENTS[settings.placement],
     )
-    peers.on_control = lambda connection, frame: dispatch_connection_control(
-        control, connection, frame
-    )
-    port = await open_peer_port(
-        *split_address(settings.peer),
-        lambda: accept_connection(peers),
-        control,
-        stamp=stamp,
-        traffic=peers.traffic,
-    )
+    port = await open_port(parts, lambda: accept_connection(peers), peers.traffic)
     peers.hello.sender = port.address
-    publish_traffic(peers.traffic)
-    background = BackgroundTasks()
     stop, stop_now = watch_signals()
-    server = await start_caller_server(settings, follower, dispatcher)
-
-    def status() -> dict:
-        return describe(server, follower, members, peers)
-
-    control.handlers.append(
-        lambda peer, frame, reply: answer_status(status, frame, reply)
-    )
-    admin = await start_admin(
-        *split_address(settings.admin),
-        missing=lambda: missing_parts(follower, members),
-        status=status,
-    )
-    connect_follower(
-        follower, control, port, peers.traffic, lambda: list_processes(members)
-    )
-    start_task(background, follow_rules(follower, store), "rules")
-    start_task(
-        background,
-        follow_window(window, lambda: len(list_processes(members))),
-        "window",
-    )
-    start_task(background, announce_revision_forever(follower), "rules-greetings")
-    start_task(
-        background,
-        follow_list(
-            members, client, settings.instances, settings.data_centre, Random()
-        ),
-        "instances",
+    server = await start_caller_server(settings, dispatcher)
+    admin = await start_status_pages(
+        parts,
+        missing=lambda: list_missing(parts),
+        status=lambda: describe(server, parts, peers),
     )
+    follow_fleet(parts, port, peers.traffic)
     tune_garbage_collector()
     log_event(
         logger,
@@ -140,9 +88,9 @@
         data_centre=settings.data_centre,
     )
     await stop.wait()
-    stamp.draining = True
+    parts.stamp.draining = True
     n_cut = await drain(server, settings.drain_ms, stop_now)
-    await cancel_tasks(background)
+    await cancel_tasks(parts.background)
     log_event(logger, "stopped", n_cut=n_cut)
     return 0
 
@@ -164,7 +112,7 @@
 
 
 async def start_caller_server(
-    settings: RouterSettings, follower: Follower, dispatcher: Dispatcher
+    settings: RouterSettings, dispatcher: Dispatcher
 ) -> Server:
     """Start the HTTP server for callers."""
     limits = Limits(
@@ -173,7 +121,7 @@
         body_timeout_ms=settings.body_timeout_ms,
     )
     return await start_server(
-        make_handler(follower, dispatcher, dispatcher.clock),
+        make_handler(dispatcher.follower, dispatcher, dispatcher.clock),
         *split_address(settings.listen),
         limits=limits,
         clock=dispatcher.clock,
@@ -196,30 +144,24 @@
     return len(server.connections)
 
 
-def missing_parts(follower: Follower, members: Members) -> list[str]:
+def list_missing(parts: CommonParts) -> list[str]:
     """Return the names of what the router needs before it is ready."""
-    missing = []
-    if follower.rules.revision == 0:
-        missing.append("rules")
-    if members.n_reads == 0:
-        missing.append("instance list")
-    if not members.endpoints:
+    missing = list_missing_parts(parts)
+    if not parts.members.endpoints:
         missing.append("a peer")
     return missing
 
 
-def describe(
-    server: Server, follower: Follower, members: Members, peers: Peers
-) -> dict:
+def describe(server: Server, parts: CommonParts, peers: Peers) -> dict:
     """Return the router's state for the status page."""
     return {
         "role": "router",
         "address": server.address,
-        "revision": follower.rules.revision,
+        "revision": parts.follower.rules.revision,
         "draining": server.draining,
-        "n_endpoints": len(members.endpoints),
+        "n_endpoints": len(parts.members.endpoints),
         "n_connections": len(peers.connections),
         "n_in_flight": len(peers.streams),
         "refusals": sum_by_reason(REFUSALS),
-        "rejected_revision": follower.rules_state.rejected_revision,
+        "rejected_revision": parts.follower.rules_state.rejected_revision,
     }
