Share the end of a drain between routers and agents

Both drains started a task for their work and one for the second signal, waited for the first of them, and returned the work's result or cancelled it, line for line. finish_or_stop in pulley_fleet.processes does that for both; what counts as cut on a second signal stays with each.

--- a/packages/agent/src/pulley_agent/app.py
+++ b/packages/agent/src/pulley_agent/app.py
@@ -19,6 +19,7 @@
 from pulley_fleet.ports import dispatch_connection_control
 from pulley_fleet.processes import (
     cancel_tasks,
+    finish_or_stop,
     start_task,
     tune_garbage_collector,
     watch_signals,
@@ -194,13 +195,10 @@
     A second signal ends the wait.
     """
     announce_drain(sessions)
-    finishing = asyncio.create_task(finish_and_export(sessions, timeout_ms, exporter))
-    stopping = asyncio.create_task(stop_now.wait())
-    await asyncio.wait({finishing, stopping}, return_when=asyncio.FIRST_COMPLETED)
-    stopping.cancel()
-    if finishing.done():
-        return finishing.result()
-    finishing.cancel()
+    finishing = finish_and_export(sessions, timeout_ms, exporter)
+    n_cut = await finish_or_stop(finishing, stop_now)
+    if n_cut is not None:
+        return n_cut
     return len(list_running(sessions)) + len(sessions.routes)
 
 
--- a/packages/fleet/src/pulley_fleet/processes.py
+++ b/packages/fleet/src/pulley_fleet/processes.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from pulley_base import log_event, warn_event
 
@@ -13,6 +14,8 @@
 GC_GENERATION_1_THRESHOLD = 20
 GC_GENERATION_2_THRESHOLD = 50
 
+Result = TypeVar("Result")
+
 logger = logging.getLogger(__name__)
 
 
@@ -74,3 +77,17 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal, number.name)
     return first, second
+
+
+async def finish_or_stop(
+    work: Coroutine[None, None, Result], stop_now: asyncio.Event
+) -> Result | None:
+    """Return the result of ``work``; cancel it and return None on ``stop_now``."""
+    working = asyncio.create_task(work)
+    stopping = asyncio.create_task(stop_now.wait())
+    await asyncio.wait({working, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    if working.done():
+        return working.result()
+    working.cancel()
+    return None
--- a/packages/router/src/pulley_router/app.py
+++ b/packages/router/src/pulley_router/app.py
@@ -23,6 +23,7 @@
 from pulley_fleet.ports import dispatch_connection_control
 from pulley_fleet.processes import (
     cancel_tasks,
+    finish_or_stop,
     tune_garbage_collector,
     watch_signals,
 )
@@ -134,14 +135,8 @@
 
     The wait ends after ``timeout_ms`` or when ``stop_now`` is set.
     """
-    draining = asyncio.create_task(drain_server(server, timeout_ms))
-    stopping = asyncio.create_task(stop_now.wait())
-    await asyncio.wait({draining, stopping}, return_when=asyncio.FIRST_COMPLETED)
-    stopping.cancel()
-    if draining.done():
-        return draining.result()
-    draining.cancel()
-    return len(server.connections)
+    n_cut = await finish_or_stop(drain_server(server, timeout_ms), stop_now)
+    return len(server.connections) if n_cut is None else n_cut
 
 
 def list_missing(parts: CommonParts) -> list[str]:
