Split an IP:port in one place

split_address stood in the fleet's settings and again in the stand-ins, and nine more places took an address apart by hand: the HTTP and peer clients, the datagrams, the peer port, the crash probe, the direct router's listeners, a stand-in and three test steps. It is in pulley_base now and serves all of them. Places that check a text while they split it are left as they are.

--- a/packages/agent/src/pulley_agent/crashes.py
+++ b/packages/agent/src/pulley_agent/crashes.py
@@ -21,6 +21,7 @@
     Reason,
     Sentinel,
     log_event,
+    split_address,
     time_limit,
     to_seconds,
     warn_event,
@@ -221,10 +222,10 @@
     still be accepted after others were reset. One that stays open for
     ``PROBE_TIMEOUT_MS`` belongs to a live engine.
     """
-    host, _, port = watch.engine.rpartition(":")
+    host, port = split_address(watch.engine)
     try:
         async with time_limit(PROBE_TIMEOUT_MS):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(host, port)
     except (OSError, TimeoutError):
         return True
     try:
--- a/packages/base/src/pulley_base/__init__.py
+++ b/packages/base/src/pulley_base/__init__.py
@@ -1,5 +1,6 @@
 """Clock, errors, sentinels, logs, outcomes and settings shared by all packages."""
 
+from .addresses import split_address
 from .clock import Clock, boot_time_ms, to_seconds, wall_time_ms
 from .errors import (
     ConnectionLost,
@@ -29,6 +30,7 @@
     "boot_time_ms",
     "configure_logs",
     "log_event",
+    "split_address",
     "time_limit",
     "to_seconds",
     "wait_for_event",
--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -11,6 +11,7 @@
     SettingsError,
     boot_time_ms,
     log_event,
+    split_address,
     to_seconds,
 )
 from pulley_http import Request, Response, Server, start_server
@@ -133,8 +134,7 @@
 
 async def listen(address: str, handler, **options) -> Server:
     """Start an HTTP server at IP:port."""
-    host, _, port = address.rpartition(":")
-    return await start_server(handler, host, int(port), **options)
+    return await start_server(handler, *split_address(address), **options)
 
 
 async def listen_admin(router: Router) -> Server | None:
--- a/packages/fleet/src/pulley_fleet/common_parts.py
+++ b/packages/fleet/src/pulley_fleet/common_parts.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from pulley_base import Clock
+from pulley_base import Clock, split_address
 from pulley_http import Client, Server
 from pulley_platform.stores import Store
 from pulley_wire import FrameStamp, PeerConnection, Traffic
@@ -16,7 +16,7 @@
 from .ports import ControlHandlers, PeerPort, open_peer_port
 from .processes import BackgroundTasks, start_task
 from .rules_reads import announce_revision_forever, connect_follower, follow_rules
-from .settings import FleetSettings, digest_fleet, split_address
+from .settings import FleetSettings, digest_fleet
 from .statuses import answer_status
 from .windows import Window, follow_window
 
--- a/packages/fleet/src/pulley_fleet/ports.py
+++ b/packages/fleet/src/pulley_fleet/ports.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from pulley_base import split_address
 from pulley_wire import (
     DatagramPort,
     Frame,
@@ -75,7 +76,7 @@
     address = "%s:%s" % listener.sockets[0].getsockname()[:2]
     datagrams = await open_datagrams(
         host,
-        int(address.rpartition(":")[2]),
+        split_address(address)[1],
         lambda: DatagramPort(
             lambda peer, frame: dispatch_control_frame(
                 control, peer, frame, lambda answer: datagrams.send(peer, answer)
--- a/packages/fleet/src/pulley_fleet/settings.py
+++ b/packages/fleet/src/pulley_fleet/settings.py
@@ -25,12 +25,6 @@
 Placement = Literal["home", "random", "two-choices", "rendezvous", "bounded"]
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of an IP:port."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def digest_fleet(name: str) -> int:
     """Return the 31-bit id that stands for a fleet's name in frames."""
     return crc32(name.encode()) & FLEET_ID_MASK
--- a/packages/http/src/pulley_http/connections.py
+++ b/packages/http/src/pulley_http/connections.py
@@ -5,7 +5,13 @@
 
 import h11
 
-from pulley_base import ConnectionLost, TimedOut, time_limit, to_seconds
+from pulley_base import (
+    ConnectionLost,
+    TimedOut,
+    split_address,
+    time_limit,
+    to_seconds,
+)
 
 READ_AHEAD_BYTES = 256 * 1024
 CHECKS_PER_STALL_TIMEOUT = 4
@@ -147,12 +153,12 @@
     acknowledged bytes, or answered keep-alive probes, for about that long.
     Raises ConnectionLost or TimedOut with the step ``connect``.
     """
-    host, _, port = peer.rpartition(":")
+    host, port = split_address(peer)
     loop = asyncio.get_running_loop()
     try:
         async with time_limit(timeout_ms):
             _transport, connection = await loop.create_connection(
-                lambda: ClientConnection(peer), host, int(port)
+                lambda: ClientConnection(peer), host, port
             )
     except TimeoutError as error:
         raise TimedOut("no connection in time", step="connect", peer=peer) from error
--- a/packages/router/src/pulley_router/app.py
+++ b/packages/router/src/pulley_router/app.py
@@ -4,7 +4,7 @@
 import logging
 import secrets
 
-from pulley_base import configure_logs, log_event
+from pulley_base import configure_logs, log_event, split_address
 from pulley_fleet.common_parts import (
     CommonParts,
     build_parts,
@@ -27,7 +27,6 @@
     tune_garbage_collector,
     watch_signals,
 )
-from pulley_fleet.settings import split_address
 from pulley_http import Limits, Server, drain_server, start_server
 from pulley_policy.baselines import PLACEMENTS
 from pulley_wire import Frame
--- a/packages/router/src/pulley_router/consoles.py
+++ b/packages/router/src/pulley_router/consoles.py
@@ -7,7 +7,7 @@
 
 from pydantic import Field
 
-from pulley_base import Clock, Sentinel, to_seconds
+from pulley_base import Clock, Sentinel, split_address, to_seconds
 from pulley_base.settings import Settings
 from pulley_fleet.followers import Follower, handle_rules_frame, request_newer_rules
 from pulley_fleet.ports import (
@@ -21,7 +21,6 @@
     FLEET_FIELD,
     Address,
     digest_fleet,
-    split_address,
 )
 from pulley_fleet.statuses import ask_status
 from pulley_http import Client, close_client
--- a/packages/standins/src/pulley_standins/engines.py
+++ b/packages/standins/src/pulley_standins/engines.py
@@ -8,6 +8,7 @@
 
 from pydantic import Field, ValidationError
 
+from pulley_base import split_address
 from pulley_base.settings import settings_command
 from pulley_http import Request, Response, find_header, read_all, start_server
 
@@ -16,7 +17,7 @@
 from .completions import CompletionRequest, complete, open_completion, stream_events
 from .executions import Executions, count_execution
 from .orders import OrderBook, accept_order, json_response
-from .processes import StandinSettings, run_process, split_address
+from .processes import StandinSettings, run_process
 from .reports import Report, render_report, run_sampler
 from .states import describe_state
 
--- a/packages/standins/src/pulley_standins/platforms.py
+++ b/packages/standins/src/pulley_standins/platforms.py
@@ -4,11 +4,11 @@
 
 from pydantic import Field
 
-from pulley_base import configure_logs
+from pulley_base import configure_logs, split_address
 from pulley_base.settings import settings_command
 
 from .lists import serve_list
-from .processes import StandinSettings, split_address
+from .processes import StandinSettings
 from .stores import serve_store
 
 
--- a/packages/standins/src/pulley_standins/processes.py
+++ b/packages/standins/src/pulley_standins/processes.py
@@ -22,12 +22,6 @@
     log_level: str = Field("info", description="debug, info, warning or error")
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split IP:port into its host and its port number."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def run_process(settings: StandinSettings, start: Callable[..., Awaitable[str]]) -> int:
     """Run a stand-in until SIGTERM or SIGINT and return the exit code, 0.
 
--- a/packages/standins/src/pulley_standins/relays.py
+++ b/packages/standins/src/pulley_standins/relays.py
@@ -6,12 +6,12 @@
 
 from pydantic import Field
 
-from pulley_base import log_event
+from pulley_base import log_event, split_address
 from pulley_base.settings import settings_command
 from pulley_http import Request, Response, start_server
 
 from .orders import json_response
-from .processes import StandinSettings, run_process, split_address
+from .processes import StandinSettings, run_process
 
 READ_BYTES = 64 * 1024
 
--- a/packages/standins/src/pulley_standins/services.py
+++ b/packages/standins/src/pulley_standins/services.py
@@ -7,13 +7,13 @@
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 from pydantic import Field
 
-from pulley_base import to_seconds
+from pulley_base import split_address, to_seconds
 from pulley_base.settings import settings_command
 from pulley_http import Request, Response, read_all, start_server
 
 from .executions import Executions, count_execution, execution_key
 from .orders import OrderBook, is_stale, json_response
-from .processes import StandinSettings, run_process, split_address
+from .processes import StandinSettings, run_process
 
 PLAIN_TEXT = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
 
--- a/packages/standins/src/pulley_standins/stores.py
+++ b/packages/standins/src/pulley_standins/stores.py
@@ -15,6 +15,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
+from pulley_base import split_address
 from pulley_http import Limits, Request, Response, Server, read_all, start_server
 
 from . import store_state
@@ -53,7 +54,7 @@
     """Start a stand-in; port 0 takes any free port."""
     standin = StoreStandin(host=host)
     standin.server = await listen(standin, port)
-    standin.port = int(standin.server.address.rpartition(":")[2])
+    _host, standin.port = split_address(standin.server.address)
     standin.admin = await start_server(
         lambda request: handle_admin_request(standin, request), host, admin_port
     )
--- a/packages/wire/src/pulley_wire/connections.py
+++ b/packages/wire/src/pulley_wire/connections.py
@@ -11,6 +11,7 @@
     ProtocolError,
     TimedOut,
     log_event,
+    split_address,
     to_seconds,
     warn_event,
 )
@@ -270,12 +271,12 @@
 
     Raises ConnectionLost or TimedOut with the step ``connect``.
     """
-    host, _, port = peer.rpartition(":")
+    host, port = split_address(peer)
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(to_seconds(CONNECT_TIMEOUT_MS)):
             _transport, connection = await loop.create_connection(
-                make_connection, host, int(port)
+                make_connection, host, port
             )
     except TimeoutError as error:
         raise TimedOut("no connection in time", step="connect", peer=peer) from error
--- a/packages/wire/src/pulley_wire/datagrams.py
+++ b/packages/wire/src/pulley_wire/datagrams.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable
 
-from pulley_base import ProtocolError, warn_event
+from pulley_base import ProtocolError, split_address, warn_event
 
 from .connections import FrameStamp, Traffic
 from .frames import decode_message, encode_message
@@ -70,8 +70,7 @@
         data = encode_message(frame)
         if len(data) > MAX_DATAGRAM_BYTES or self.transport is None:
             return False
-        host, _, port = peer.rpartition(":")
-        self.transport.sendto(data, (host, int(port)))
+        self.transport.sendto(data, split_address(peer))
         self.traffic.n_control_frames_sent += 1
         self.traffic.n_control_bytes_sent += len(data)
         return True
--- a/tests/http/steps/cuts.py
+++ b/tests/http/steps/cuts.py
@@ -4,6 +4,7 @@
 
 from behave import then, when
 
+from pulley_base import split_address
 from pulley_http import Response, start_server
 
 PAUSE_S = 0.05
@@ -24,8 +25,8 @@
 def read_broken_response(context, version):
     async def run():
         server = await start_server(answer_in_part, "127.0.0.1", 0)
-        host, _, port = server.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        address = split_address(server.address)
+        reader, writer = await asyncio.open_connection(*address)
         writer.write(f"GET / HTTP/{version}\r\nhost: a\r\n\r\n".encode())
         context.was_reset = False
         context.received = b""
--- a/tests/http/steps/raw_callers.py
+++ b/tests/http/steps/raw_callers.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from pulley_base import split_address
 from pulley_http import Server
 
 READ_LIMIT_S = 5
@@ -14,11 +15,10 @@
 @asynccontextmanager
 async def connect_raw(server: Server) -> AsyncIterator[socket.socket]:
     """Connect to a server and wait until it has accepted the connection."""
-    host, _, port = server.address.rpartition(":")
     with socket.socket() as caller:
         caller.setblocking(False)
         loop = asyncio.get_running_loop()
-        await loop.sock_connect(caller, (host, int(port)))
+        await loop.sock_connect(caller, split_address(server.address))
         while not server.connections:
             await asyncio.sleep(0)
         yield caller
--- a/tests/http/steps/slow_drains.py
+++ b/tests/http/steps/slow_drains.py
@@ -7,6 +7,7 @@
 
 from behave import then, when
 
+from pulley_base import split_address
 from pulley_http import Response, start_server
 from pulley_http.servers import drain_server
 
@@ -51,8 +52,8 @@
 
 def read_late(address: str) -> bytes:
     """Send a request, pause, and read until the end or for ``READ_LIMIT_S``."""
-    host, _, port = address.rpartition(":")
-    with socket.create_connection((host, int(port)), timeout=READ_LIMIT_S) as caller:
+    peer = split_address(address)
+    with socket.create_connection(peer, timeout=READ_LIMIT_S) as caller:
         caller.sendall(REQUEST)
         time.sleep(CALLER_PAUSE_S)
         received = b""
