Close an HTTP server in one place

To stop listening and abort the open connections stood in the direct router, in both stand-ins of the platform, in the router fixture and in a step of the adapter's tests; the abort alone again at the end of a drain. close_server in pulley_http serves them all.

--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -14,7 +14,7 @@
     split_address,
     to_seconds,
 )
-from pulley_http import Request, Response, Server, start_server
+from pulley_http import Request, Response, Server, close_server, start_server
 
 from .admin import answer_operator
 from .announcements import announce
@@ -126,9 +126,7 @@
     for server in filter(
         None, (running.caller_server, running.ready_server, running.admin_server)
     ):
-        server.listener.close()
-        for connection in list(server.connections):
-            connection.abort()
+        close_server(server)
     close_unusable_idle(running.router.pool, set())
 
 
--- a/packages/http/src/pulley_http/__init__.py
+++ b/packages/http/src/pulley_http/__init__.py
@@ -11,7 +11,7 @@
     read_all,
 )
 from .problems import RequestRefused, problem_body, problem_response
-from .servers import Handler, Server, drain_server, start_server
+from .servers import Handler, Server, close_server, drain_server, start_server
 
 __all__ = [
     "Client",
@@ -23,6 +23,7 @@
     "Response",
     "Server",
     "close_client",
+    "close_server",
     "drain_server",
     "drop_hop_by_hop_headers",
     "fetch",
--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -65,6 +65,18 @@
     return server
 
 
+def close_server(server: Server) -> None:
+    """Stop listening and abort the open connections."""
+    server.listener.close()
+    abort_connections(server)
+
+
+def abort_connections(server: Server) -> None:
+    """Abort the open connections."""
+    for connection in list(server.connections):
+        connection.abort()
+
+
 async def drain_server(server: Server, timeout_ms: int) -> int:
     """Stop accepting connections, finish requests in flight, and close.
 
@@ -78,6 +90,5 @@
     if not closed:
         return 0
     _done, unclosed = await asyncio.wait(closed, timeout=to_seconds(timeout_ms))
-    for connection in list(server.connections):
-        connection.abort()
+    abort_connections(server)
     return len(unclosed)
--- a/packages/standins/src/pulley_standins/lists.py
+++ b/packages/standins/src/pulley_standins/lists.py
@@ -19,6 +19,7 @@
     Request,
     Response,
     Server,
+    close_server,
     find_header,
     read_all,
     start_server,
@@ -82,9 +83,7 @@
 def stop_list(standin: ListStandin) -> None:
     """Close both listeners and abort their connections."""
     for server in (standin.server, standin.admin):
-        server.listener.close()
-        for connection in list(server.connections):
-            connection.abort()
+        close_server(server)
 
 
 def set_groups(standin: ListStandin, groups: list) -> None:
--- a/packages/standins/src/pulley_standins/stores.py
+++ b/packages/standins/src/pulley_standins/stores.py
@@ -16,7 +16,15 @@
 from dataclasses import dataclass, field
 
 from pulley_base import split_address
-from pulley_http import Limits, Request, Response, Server, read_all, start_server
+from pulley_http import (
+    Limits,
+    Request,
+    Response,
+    Server,
+    close_server,
+    read_all,
+    start_server,
+)
 
 from . import store_state
 from .store_state import StoreState, Watch
@@ -87,15 +95,8 @@
 def stop_store(standin: StoreStandin) -> None:
     """Close both listeners, abort their connections and stop expiring leases."""
     standin.expiry_task.cancel()
-    close_listener(standin.server)
-    close_listener(standin.admin)
-
-
-def close_listener(server: Server) -> None:
-    """Stop listening and abort the open connections."""
-    server.listener.close()
-    for connection in list(server.connections):
-        connection.abort()
+    close_server(standin.server)
+    close_server(standin.admin)
 
 
 async def expire_leases_forever(standin: StoreStandin) -> None:
@@ -217,7 +218,7 @@
         setattr(standin.faults, name, value)
     refusing = standin.faults.outage == "refuse"
     if refusing and not was_refusing:
-        close_listener(standin.server)
+        close_server(standin.server)
     elif was_refusing and not refusing:
         standin.server = await listen(standin, standin.port)
     elif standin.faults.outage == "":
--- a/tests/adapter/steps/store_calls.py
+++ b/tests/adapter/steps/store_calls.py
@@ -14,7 +14,7 @@
 from pulley_adapter.stores import connect_store
 from pulley_base import PulleyError
 from pulley_direct.store_calls import StoreCallRefused
-from pulley_http import Client, close_client
+from pulley_http import Client, close_client, close_server
 
 N_ITEMS = 1_203
 
@@ -26,9 +26,7 @@
         return await use_store(store, connect_store(store.address, client))
     finally:
         close_client(client)
-        store.server.listener.close()
-        for connection in list(store.server.connections):
-            connection.abort()
+        close_server(store.server)
 
 
 @when("a store with more items than one page is read")
--- a/tests/direct/steps/scenes.py
+++ b/tests/direct/steps/scenes.py
@@ -18,7 +18,13 @@
 from pulley_direct.app import RunningRouter, close_router, start_router
 from pulley_direct.models import Bounds, RouterSettings
 from pulley_direct.signals import wait_until
-from pulley_http import Client, close_client, find_header, send_request
+from pulley_http import (
+    Client,
+    close_client,
+    close_server,
+    find_header,
+    send_request,
+)
 
 MAX_WAIT_MS = 5_000
 TOKEN = "token-of-orto"
@@ -133,9 +139,7 @@
         close_client(fixture.client)
         close_client(store_client)
         for server in [store.server, *(one.server for one in fixture.endpoints)]:
-            server.listener.close()
-            for connection in list(server.connections):
-                connection.abort()
+            close_server(server)
 
 
 async def add_endpoint(fixture: RouterFixture, name: str, service: str, **options):
