Send the raw answers of the direct suite from one kind of endpoint

The repeated answer keeps its bytes and its checks. Its connection used to be the only one that could answer the second request; the step now says so with an assertion on the number of open connections.

--- a/tests/direct/steps/answers.py
+++ b/tests/direct/steps/answers.py
@@ -4,7 +4,13 @@
 
 from behave import then, when
 from pulley_platform_standins.endpoints import Behavior
-from raw_servers import list_raw_server, raw_answer, serve_raw
+from raw_endpoints import (
+    Script,
+    add_raw_endpoints,
+    call_raw_endpoint,
+    encode_framed,
+    end_connection,
+)
 from scenes import (
     CHAT,
     LOOKUP,
@@ -141,17 +147,23 @@
 
 @when("an endpoint repeats its answer to an earlier request before the next one")
 def repeat_earlier_answer(context):
+    earlier = []
+
+    async def answer_first(request, writer):
+        earlier.append(encode_framed(request, "a length", b"first"))
+        writer.write(earlier[0])
+
+    async def answer_second(request, writer):
+        writer.write(earlier[0] + encode_framed(request, "a length", b"second"))
+
     async def run():
-        first = raw_answer("request-1", b"first")
-        second = raw_answer("request-1", b"first") + raw_answer("request-2", b"second")
-        server = await serve_raw([(first, ""), (second, "")])
-        async with start_fixture() as fixture:
-            list_raw_server(fixture, server)
-            await wait_until_synced(fixture)
+        async with start_fixture(n_endpoints=0) as fixture:
+            script = Script([answer_first, answer_second])
+            await add_raw_endpoints(fixture, "shop", 1, script)
             await call(fixture, ORDER, request_id="request-1")
             answer = await call(fixture, ORDER, request_id="request-2")
-        server.close()
-        return answer
+            assert script.n_open == 1, script
+            return answer
 
     context.answer = asyncio.run(run())
 
@@ -165,13 +177,8 @@
 
 @when("an endpoint ends an answer without a length with a {end}")
 def end_answer_without_length(context, end):
-    async def run():
-        server = await serve_raw([(raw_answer("request-1", b"all", ""), end)])
-        async with start_fixture() as fixture:
-            list_raw_server(fixture, server)
-            await wait_until_synced(fixture)
-            answer = await call(fixture, ORDER)
-        server.close()
-        return answer
+    async def answer(request, writer):
+        writer.write(encode_framed(request, "nothing", b"all"))
+        await end_connection(writer, end)
 
-    context.answer = asyncio.run(run())
+    context.answer = asyncio.run(call_raw_endpoint(ORDER, "shop", answer))
--- a/tests/direct/steps/endless_answers.py
+++ b/tests/direct/steps/endless_answers.py
@@ -10,6 +10,7 @@
     RawRequest,
     Script,
     add_raw_endpoints,
+    call_raw_endpoint,
     encode_chunk,
     encode_framed,
     encode_head,
@@ -205,12 +206,7 @@
         writer.write(data * count + encode_framed(request, "a length", b"own"))
         await writer.drain()
 
-    async def run():
-        async with start_fixture(n_endpoints=0) as fixture:
-            await add_raw_endpoints(fixture, "shop", 1, Script([answer]))
-            return await call(fixture, ORDER, timeout_ms=TIMEOUT_MS)
-
-    context.answer = asyncio.run(run())
+    context.answer = asyncio.run(call_raw_endpoint(ORDER, "shop", answer, TIMEOUT_MS))
 
 
 @when("an event of 512 KiB comes in pieces of 64 bytes")
--- a/tests/direct/steps/raw_endpoints.py
+++ b/tests/direct/steps/raw_endpoints.py
@@ -8,7 +8,7 @@
 from types import SimpleNamespace
 
 from pulley_platform_standins.endpoints import list_endpoint
-from scenes import RouterFixture, wait_until_synced
+from scenes import Answer, RouterFixture, call, start_fixture, wait_until_synced
 
 READ_BYTES = 65_536
 RESET_LINGER = struct.pack("ii", 1, 0)
@@ -70,6 +70,15 @@
     await wait_until_synced(fixture)
 
 
+async def call_raw_endpoint(
+    path: str, service: str, answer: RawAnswer, timeout_ms: int = 1_000
+) -> Answer:
+    """Call a route whose only endpoint answers with ``answer``."""
+    async with start_fixture(n_endpoints=0) as fixture:
+        await add_raw_endpoints(fixture, service, 1, Script([answer]))
+        return await call(fixture, path, timeout_ms=timeout_ms)
+
+
 async def start_raw_endpoint(name: str, service: str, script: Script) -> RawEndpoint:
     """Start one endpoint on a free port."""
 
