--- a/tests/direct/steps/foreign.py
+++ b/tests/direct/steps/foreign.py
@@ -3,23 +3,24 @@
 import asyncio
 
 from behave import then, when
-from scenes import ORDER, call, start_fixture, wait_until_synced
-from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
+from raw_endpoints import RawRequest, call_raw_endpoint, encode_chunk, encode_head
+from scenes import ORDER
 
 TIMEOUT_MS = 600
 MAX_TOOK_MS = 1_100
-PIECE = b"5\r\nagain\r\n"
+PIECE = encode_chunk(b"again")
 PIECE_PAUSE_S = 0.02
+EARLIER = RawRequest("", {"attempt-id": "request-0"})
 
 
-async def stop_midway(writer):
+async def stop_midway(request, writer):
     """Send the start of an answer to another request."""
-    writer.write(answer_head("content-length: 10\r\n", "request-0") + b"abc")
+    writer.write(encode_head(EARLIER, "content-length: 10") + b"abc")
 
 
-async def go_on_forever(writer):
+async def go_on_forever(request, writer):
     """Send an answer to another request that does not end."""
-    writer.write(answer_head("transfer-encoding: chunked\r\n", "request-0"))
+    writer.write(encode_head(EARLIER, "transfer-encoding: chunked"))
     while not writer.is_closing():
         writer.write(PIECE)
         await writer.drain()
@@ -31,15 +32,8 @@
 
 @when("an endpoint's answer to an earlier request {fault}")
 def answer_earlier_request(context, fault):
-    async def run():
-        server = await start_raw_endpoint(ANSWERS[fault])
-        async with start_fixture(n_endpoints=0) as fixture:
-            list_raw_endpoint(fixture.store, server, "shop")
-            await wait_until_synced(fixture)
-            context.answer = await call(fixture, ORDER, timeout_ms=TIMEOUT_MS)
-        server.close()
-
-    asyncio.run(run())
+    calling = call_raw_endpoint(ORDER, "shop", ANSWERS[fault], TIMEOUT_MS)
+    context.answer = asyncio.run(calling)
 
 
 @then("the request is refused within its timeout")
