--- a/tests/direct/broken_streams.feature
+++ b/tests/direct/broken_streams.feature
@@ -32,6 +32,12 @@
       | a length |
       | chunks   |
 
+  # Guards against a broken answer that looks complete.
+  Scenario: A stream whose last event stops short after a pause, and is not resumable
+    When a stream of one run without a length pauses, then ends inside an event
+    Then the caller gets the whole events, and its answer is cut
+    And the endpoint whose stream ended early counts as failing
+
   # Guards against the answer of an endpoint that crashes as it begins to write.
   Scenario Outline: <kind> without a length that closes before its first event
     When <kind> without a length closes after <body>
--- a/tests/direct/steps/broken_streams.py
+++ b/tests/direct/steps/broken_streams.py
@@ -20,6 +20,8 @@
 RESTS = {"its last event": b"", "another newline": b"\n", "a comment": b": end\n"}
 BODIES = {"no byte of its body": b"", "a part of its event": b"id: 1\nda"}
 TIMEOUT_MS = 3_000
+# Time for the first events to be passed on.
+PAUSE_S = 0.05
 # Time for the router's side of a connection to be closed.
 CLOSE_WAIT_S = 0.05
 
@@ -78,6 +80,17 @@
     run_stream(context, ONCE, [answer_with(body, framing, "close")])
 
 
+@when("a stream of one run without a length pauses, then ends inside an event")
+def end_single_stream_after_pause(context):
+    async def answer(request, writer):
+        writer.write(encode_framed(request, "nothing", encode_events(1, 2)))
+        await asyncio.sleep(PAUSE_S)
+        writer.write(EVENT_PART)
+        writer.close()
+
+    run_stream(context, ONCE, [answer])
+
+
 @when("{kind} without a length closes after {body}")
 def close_before_first_event(context, kind, body):
     first = answer_with(BODIES[body], "nothing", "close")
