Join the stream past its deadline to the other streams at their deadline

deadlines.feature guarded what stream_deadlines.feature guards: a stream that has reached its deadline must not run at a second endpoint. What differed, the timeout of 600 ms, the chunks and the 200 ms of waiting for a late attempt, is now an example of the outline there; all its assertions hold for both.

--- a/tests/direct/steps/stream_deadlines.py
+++ b/tests/direct/steps/stream_deadlines.py
@@ -3,7 +3,13 @@
 import asyncio
 
 from behave import then, when
-from raw_endpoints import RawAnswer, Script, add_raw_endpoints, encode_head
+from raw_endpoints import (
+    RawAnswer,
+    Script,
+    add_raw_endpoints,
+    encode_chunk,
+    encode_head,
+)
 from scenes import CHAT, ONCE, ORDER, call, start_fixture
 
 from pulley_direct.loads import get_state
@@ -14,17 +20,28 @@
 SHORT_TIMEOUT_MS = 400
 KINDS = {"an order": (ORDER, "shop"), "a stream": (ONCE, "model")}
 EVENT_PERIOD_S = 0.03
+# Time for a late attempt at another endpoint to be seen.
+SETTLE_S = 0.2
+FRAMINGS = {
+    "nothing": ((), lambda event: event),
+    "chunks": (("transfer-encoding: chunked",), encode_chunk),
+}
 
 
-async def stream_without_end(request, writer):
-    """Send events until the router closes the connection."""
-    writer.write(encode_head(request))
-    number = int(request.headers.get("last-event-id", 0))
-    while not writer.is_closing():
-        number += 1
-        writer.write(b"id: %d\ndata: x\n\n" % number)
-        await writer.drain()
-        await asyncio.sleep(EVENT_PERIOD_S)
+def stream_without_end(framing: str) -> RawAnswer:
+    """Return an answer of events until the router closes the connection."""
+    lines, encode_event = FRAMINGS[framing]
+
+    async def answer(request, writer):
+        writer.write(encode_head(request, *lines))
+        number = int(request.headers.get("last-event-id", 0))
+        while not writer.is_closing():
+            number += 1
+            writer.write(encode_event(b"id: %d\ndata: x\n\n" % number))
+            await writer.drain()
+            await asyncio.sleep(EVENT_PERIOD_S)
+
+    return answer
 
 
 async def fall_silent(request, writer):
@@ -42,12 +59,14 @@
     timeout_ms: int = TIMEOUT_MS,
 ) -> None:
     """Call a route whose endpoints do not end their answers in time."""
+    context.timeout_ms = timeout_ms
 
     async def run():
         async with start_fixture(n_endpoints=0) as fixture:
             script = Script([answer])
             await add_raw_endpoints(fixture, service, 2, script)
             context.answer = await call(fixture, path, timeout_ms=timeout_ms)
+            await asyncio.sleep(SETTLE_S)
             context.requests = script.requests
             first = script.requests[0].endpoint
             context.state = get_state(fixture.router.loads, first)
@@ -56,9 +75,10 @@
     asyncio.run(run())
 
 
-@when("a resumable stream still goes on at its deadline")
-def go_on_at_deadline(context):
-    run_past_deadline(context, CHAT, stream_without_end)
+@when("a resumable stream by {framing} still goes on after its {timeout_ms:d} ms")
+def go_on_at_deadline(context, framing, timeout_ms):
+    answer = stream_without_end(framing)
+    run_past_deadline(context, CHAT, answer, timeout_ms=timeout_ms)
 
 
 @when("a stream that can't be resumed falls silent until its deadline")
@@ -70,7 +90,7 @@
 def check_cut_at_deadline(context):
     answer = context.answer
     assert (answer.status, answer.whole) == (200, False), answer
-    assert answer.took_ms < TIMEOUT_MS + MAX_LATE_MS, answer.took_ms
+    assert answer.took_ms < context.timeout_ms + MAX_LATE_MS, answer.took_ms
 
 
 @then("only the first endpoint was asked, and no retry was spent")
--- a/tests/direct/stream_deadlines.feature
+++ b/tests/direct/stream_deadlines.feature
@@ -2,12 +2,17 @@
 
   # Guards against a sound endpoint that is blamed for a deadline, and a last attempt
   # with no time left at another one.
-  Scenario: A resumable stream that goes on past its deadline is cut, not resumed
-    When a resumable stream still goes on at its deadline
+  Scenario Outline: A resumable stream by <framing> that goes on past <ms> ms is cut, not resumed
+    When a resumable stream by <framing> still goes on after its <ms> ms
     Then the caller's stream is cut at its deadline
     And only the first endpoint was asked, and no retry was spent
     And the endpoint of that stream does not count as failing
 
+    Examples:
+      | framing | ms   |
+      | nothing | 1200 |
+      | chunks  | 600  |
+
   # Guards against an endpoint that falls silent and is not found out.
   Scenario: An endpoint that has long been silent at the deadline counts as failing
     When a stream that can't be resumed falls silent until its deadline
