Share the endpoint that reads a long body late between two features

bodies and early_answers each started a listener with a small receive buffer that reads a head, pauses and goes on in its own way, with the same sizes and times. late_readers.py holds it for both. What is sent, read and asserted is unchanged; connections are still counted before their first byte.

--- a/tests/direct/steps/bodies.py
+++ b/tests/direct/steps/bodies.py
@@ -1,39 +1,16 @@
 """Steps with an endpoint that reads a long body late."""
 
 import asyncio
-import socket
 
 from behave import then, when
+from late_readers import BODY_BYTES, LATE_S, start_late_reader
 from scenes import ONCE, ORDER, call, start_fixture, wait_until_synced
 from timed_endpoints import answer_head, list_raw_endpoint
 
-BODY_BYTES = 6 * 1024 * 1024
-RECEIVE_BUFFER_BYTES = 4_096
-# Longer than the time after which unacknowledged bytes end a connection.
-LATE_S = 1.2
 EVENTS = [b"id: %d\ndata: a\n\n" % number for number in range(1, 6)]
 PLAIN_ANSWER = b"done"
 
 
-async def start_late_reader(answer) -> asyncio.Server:
-    """Start a server whose connections buffer little and are read by ``answer``."""
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    listener.bind(("127.0.0.1", 0))
-
-    async def serve(reader, writer):
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.transport.pause_reading()
-            await answer(reader, writer)
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
-            pass
-        finally:
-            writer.close()
-
-    return await asyncio.start_server(serve, sock=listener)
-
-
 async def answer_late(reader, writer):
     """Read the body late, and answer when it is complete."""
     await asyncio.sleep(LATE_S)
