Fail an engine's answer in one place

The plain run and the run that can be paused each turned an error of the engine into a refusal, if nothing had been sent, or into the answer's failure. fail_answer does that for both, with the condition of the pausable run: a plain run has no head at the step "connect" either, as it sends one request. Its callbacks are required now, as its one caller gives both.

--- a/packages/agent/src/pulley_agent/engines.py
+++ b/packages/agent/src/pulley_agent/engines.py
@@ -29,6 +29,8 @@
 COMPLETION_PATHS = ("/chat/completions", "/v1/completions")
 BODILESS_STATUSES = frozenset({204, 304})
 
+BeforeFailure = Callable[[Failed], Awaitable[None]]
+
 
 async def run_on_engine(
     client: Client,
@@ -36,8 +38,8 @@
     opened: Open,
     body: bytes | AsyncIterator[bytes],
     answer: Answer,
-    on_piece: Callable[[bytes], None] = lambda piece: None,
-    before_failure: Callable[[Failed], Awaitable[None]] | None = None,
+    on_piece: Callable[[bytes], None],
+    before_failure: BeforeFailure,
     stall_timeout_ms: int = STALL_MS,
     extra_headers: Headers = (),
     head_timeout_ms: int | None = None,
@@ -72,12 +74,7 @@
                 await append_bytes(answer, piece)
         finish_answer(answer)
     except PulleyError as error:
-        if error.step == "connect":
-            raise make_unreachable_refusal(error) from error
-        failure = failure_for(opened, answer, error)
-        if before_failure is not None:
-            await before_failure(failure)
-        finish_answer(answer, failure)
+        await fail_answer(opened, answer, error, before_failure)
 
 
 def engine_headers(opened: Open) -> Headers:
@@ -104,6 +101,21 @@
     return document[:-1] + b',"priority":%d}' % priority
 
 
+async def fail_answer(
+    opened: Open, answer: Answer, error: PulleyError, before_failure: BeforeFailure
+) -> None:
+    """Make ``error`` the answer's failure, after calling ``before_failure`` with it.
+
+    Raises RequestRefused if the engine accepted no connection and nothing has been
+    sent to it yet.
+    """
+    if error.step == "connect" and answer.head is None:
+        raise make_unreachable_refusal(error) from error
+    failure = failure_for(opened, answer, error)
+    await before_failure(failure)
+    finish_answer(answer, failure)
+
+
 def make_unreachable_refusal(error: PulleyError) -> RequestRefused:
     """Build the refusal for an engine that accepted no connection.
 
--- a/packages/agent/src/pulley_agent/pauses.py
+++ b/packages/agent/src/pulley_agent/pauses.py
@@ -10,24 +10,24 @@
 import asyncio
 import json
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import aclosing, suppress
 from dataclasses import dataclass, field, replace
 
 from pulley_base import ProtocolError, PulleyError, Sentinel, log_event
 from pulley_http import Client, RequestRefused, Response, send_request
 from pulley_policy.admission import BATCH_PRIORITY, MAX_HOPS
-from pulley_wire.messages import Failed, Open
+from pulley_wire.messages import Open
 
 from .admission import Admission, Grant, record_progress, release_grant, requeue_item
 from .answers import Answer, append_bytes, finish_answer, start_answer
 from .counters import PAUSES
 from .engines import (
     STALL_MS,
+    BeforeFailure,
     engine_headers,
-    failure_for,
+    fail_answer,
     make_answer_head,
-    make_unreachable_refusal,
 )
 
 MAX_PAUSES = 4
@@ -46,8 +46,6 @@
     {"tools", "functions", "response_format", "logprobs", "min_tokens", "stop"}
 )
 
-BeforeFailure = Callable[[Failed], Awaitable[None]]
-
 logger = logging.getLogger(__name__)
 
 
@@ -198,11 +196,7 @@
             return True
         finish_answer(answer)
     except PulleyError as error:
-        if error.step == "connect" and answer.head is None:
-            raise make_unreachable_refusal(error) from error
-        failure = failure_for(opened, answer, error)
-        await before_failure(failure)
-        finish_answer(answer, failure)
+        await fail_answer(opened, answer, error, before_failure)
     return False
 
 
