Split the connections of the HTTP server by job

It keeps the protocol: the state of a connection, its callbacks, the buffer and its backpressure. request_reads.py reads requests, response_writes.py writes responses, server_loops.py answers one request after the other; their functions take the connection.

No logic changes. Log lines of these events name the new modules in their "logger" field, so the step of unsendable.feature listens to response_writes.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -9,6 +9,7 @@
 from .models import Limits, Request, Response
 from .problems import RequestRefused, format_whole_seconds
 from .server_connections import HttpConnection
+from .server_loops import serve_connection
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -60,7 +61,7 @@
     )
     loop = asyncio.get_running_loop()
     server.listener = await loop.create_server(
-        lambda: HttpConnection(server), host, port, backlog=1024
+        lambda: HttpConnection(server, serve_connection), host, port, backlog=1024
     )
     return server
 
--- a/tests/http/steps/unsendable.py
+++ b/tests/http/steps/unsendable.py
@@ -42,7 +42,7 @@
         server.listener.close()
 
     keeper = RecordKeeper()
-    server_logger = logging.getLogger("pulley_http.server_connections")
+    server_logger = logging.getLogger("pulley_http.response_writes")
     server_logger.addHandler(keeper)
     asyncio.run(run())
     server_logger.removeHandler(keeper)
