Keep what is known of a pausable completion apart from its pauses

Nothing else changes.

The steps of the pauses suite replace record_choices where it stands now, in partial_completions; their checks are the same.

--- a/packages/agent/src/pulley_agent/runs.py
+++ b/packages/agent/src/pulley_agent/runs.py
@@ -27,7 +27,8 @@
 from .crashes import has_crashed, refuse_quarantined, report_crash, run_suspect_alone
 from .engines import run_on_engine
 from .fencing import acquire_number, fencing_headers, needs_fencing_number
-from .pauses import parse_pausable, run_pausable
+from .partial_completions import parse_pausable
+from .pauses import run_pausable
 from .routes import Sessions, end_route, hold_finished_answer, remove_attempt
 
 MIN_HEAD_TIMEOUT_MS = 1_000
--- a/tests/pauses/steps/pauses.py
+++ b/tests/pauses/steps/pauses.py
@@ -9,9 +9,10 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from pulley_agent import pauses
+from pulley_agent import partial_completions, pauses
 from pulley_agent.admission import Grant
 from pulley_agent.answers import Answer
+from pulley_agent.partial_completions import parse_pausable
 from pulley_base import Clock
 from pulley_http import Client, close_client
 from pulley_policy.gates import Gate
@@ -44,7 +45,7 @@
     )
     item = WaitingRequest(b"k", "team", 2, 60, 10**12)
     gate.load.add(b"k", 60, "team", 2)
-    return Grant(admission, item, 10, 10, partial=pauses.parse_pausable(opened))
+    return Grant(admission, item, 10, 10, partial=parse_pausable(opened))
 
 
 async def run_with_pauses(opened, pause_at):
@@ -62,19 +63,20 @@
     async def fail(failure):
         raise AssertionError(failure)
 
-    record_choices = pauses.record_choices
+    record_choices = partial_completions.record_choices
 
     def record_and_pause(partial, document):
         record_choices(partial, document)
         if partial.n_tokens in pause_at and partial.can_pause_more:
             grant.pause_requested.set()
 
-    originals = pauses.wait_to_resume, pauses.record_choices
-    pauses.wait_to_resume, pauses.record_choices = resume_at_once, record_and_pause
+    parts = partial_completions
+    originals = pauses.wait_to_resume, parts.record_choices
+    pauses.wait_to_resume, parts.record_choices = resume_at_once, record_and_pause
     try:
         await pauses.run_pausable(client, engine, opened, grant, answer, fail)
     finally:
-        pauses.wait_to_resume, pauses.record_choices = originals
+        pauses.wait_to_resume, parts.record_choices = originals
     close_client(client)
     assert answer.complete
     return bytes(answer.held).split(b"\n\n"), n_paused
@@ -137,13 +139,13 @@
 
 @then("it can't be paused")
 def not_pausable(context):
-    assert pauses.parse_pausable(make_open()) is not None
-    assert pauses.parse_pausable(context.opened) is None
+    assert parse_pausable(make_open()) is not None
+    assert parse_pausable(context.opened) is None
 
 
 @then("it can be paused until 8 tokens are left or it was paused 4 times")
 def pause_bounds(context):
-    partial = pauses.parse_pausable(context.opened)
+    partial = parse_pausable(context.opened)
     partial.n_tokens = N_TOKENS - 8
     assert partial.can_pause_more
     partial.n_tokens += 1
