--- a/packages/agent/src/pulley_agent/app.py
+++ b/packages/agent/src/pulley_agent/app.py
@@ -36,7 +36,8 @@
 from .crashes import CrashWatch, describe_quarantine, follow_suspects
 from .exports import Exporter, close_exports, export_contexts
 from .fencing import Fencing
-from .gossip import Gossip, handle_gossip, leave_gossip, run_gossip, start_gossip
+from .gossip import handle_gossip, run_gossip, start_gossip
+from .gossip_members import Gossip, leave_gossip
 from .pauses import request_pauses
 from .reports import EngineWatch, watch_engine
 from .routes import Sessions, evict_held_answers
--- a/packages/agent/src/pulley_agent/exports.py
+++ b/packages/agent/src/pulley_agent/exports.py
@@ -18,7 +18,7 @@
 from pulley_wire.messages import Header, Hello, Open
 
 from .counters import EXPORTS
-from .gossip import Gossip
+from .gossip_members import Gossip
 
 EXPORT_PATH = "/kv/export?chat="
 IMPORT_PATH = "/kv/import"
--- a/packages/agent/src/pulley_agent/rumours.py
+++ b/packages/agent/src/pulley_agent/rumours.py
@@ -20,7 +20,7 @@
 from pulley_wire.messages import Suspects
 
 from .crashes import CrashWatch
-from .gossip import Gossip
+from .gossip_members import Gossip
 
 N_FORWARD_PEERS = 6
 MAX_DIGESTS_PER_MESSAGE = 64
