--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -11,9 +11,10 @@
     SettingsError,
     boot_time_ms,
     log_event,
+    split_address,
     to_seconds,
 )
-from pulley_http import Request, Response, Server, start_server
+from pulley_http import Request, Response, Server, close_server, start_server
 
 from .admin import answer_operator
 from .announcements import announce
@@ -125,16 +126,13 @@
     for server in filter(
         None, (running.caller_server, running.ready_server, running.admin_server)
     ):
-        server.listener.close()
-        for connection in list(server.connections):
-            connection.abort()
+        close_server(server)
     close_unusable_idle(running.router.pool, set())
 
 
 async def listen(address: str, handler, **options) -> Server:
     """Start an HTTP server at IP:port."""
-    host, _, port = address.rpartition(":")
-    return await start_server(handler, host, int(port), **options)
+    return await start_server(handler, *split_address(address), **options)
 
 
 async def listen_admin(router: Router) -> Server | None:
--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -9,6 +9,7 @@
 from .models import Limits, Request, Response
 from .problems import RequestRefused, format_whole_seconds
 from .server_connections import HttpConnection
+from .server_loops import serve_connection
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -60,11 +61,23 @@
     )
     loop = asyncio.get_running_loop()
     server.listener = await loop.create_server(
-        lambda: HttpConnection(server), host, port, backlog=1024
+        lambda: HttpConnection(server, serve_connection), host, port, backlog=1024
     )
     return server
 
 
+def close_server(server: Server) -> None:
+    """Stop listening and abort the open connections."""
+    server.listener.close()
+    abort_connections(server)
+
+
+def abort_connections(server: Server) -> None:
+    """Abort the open connections."""
+    for connection in list(server.connections):
+        connection.abort()
+
+
 async def drain_server(server: Server, timeout_ms: int) -> int:
     """Stop accepting connections, finish requests in flight, and close.
 
@@ -78,6 +91,5 @@
     if not closed:
         return 0
     _done, unclosed = await asyncio.wait(closed, timeout=to_seconds(timeout_ms))
-    for connection in list(server.connections):
-        connection.abort()
+    abort_connections(server)
     return len(unclosed)
