--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -1,8 +1,6 @@
 """Dispatch of one request: attempts, retries and refusals."""
 
-import logging
-
-from pulley_base import Outcome, Reason, log_event
+from pulley_base import Outcome, Reason
 from pulley_http import RequestRefused, Response, drop_hop_by_hop_headers
 
 from .attempts import start_exchange
@@ -13,25 +11,21 @@
     retry_after_quarantine_ms,
 )
 from .exchanges import Exchange, end_exchange, read_whole_body
+from .failures import handle_attempt_failure
 from .jobs import AttemptFailed, Job
-from .loads import get_state, record_success
-from .models import Call, RetryClass
-from .outcomes import record_answer_time, record_failed_attempt
+from .loads import record_success
+from .models import RetryClass
+from .outcomes import record_answer_time
 from .placing import Target, choose_target
 from .routers import Router
 from .streams import open_stream
 
-logger = logging.getLogger(__name__)
-
 # A full endpoint has finished several short requests after this time, and callers
 # that wait a second can still retry within it.
 RETRY_AFTER_MS = 200
 FIRST_NON_SUCCESS_STATUS = 300
 MISDIRECTED_STATUS = 421
 FIRST_SERVER_ERROR_STATUS = 500
-MAX_LOGGED_PARTS = 8
-# Characters of a part's digest in a log line.
-MAX_LOGGED_DIGEST = 16
 
 
 async def dispatch(router: Router, job: Job) -> Response:
@@ -176,41 +170,6 @@
     return exchange
 
 
-def handle_attempt_failure(router: Router, job: Job, failure: AttemptFailed) -> None:
-    """Record a failed attempt for its endpoint and its job, and log it."""
-    name = failure.endpoint.name
-    job.may_have_run = job.may_have_run or failure.may_have_run
-    backoff_until_ms = record_failed_attempt(
-        router, job, failure.endpoint, failure.reason
-    )
-    if failure.reason is Reason.ENGINE_UNREACHABLE:
-        get_state(router.loads, name).unreachable = True
-    log_event(
-        logger,
-        "attempt_failed",
-        request=job.call.request_id,
-        endpoint=name,
-        reason=failure.reason,
-        detail=failure.args[0],
-        may_have_run=failure.may_have_run,
-        answer_began=failure.answer_began,
-        parts=list_shared_parts(job.call) if failure.may_have_run else None,
-        held_until_ms=backoff_until_ms,
-        n_sent=len(job.sent_to),
-        left_ms=job.deadline_ms - router.clock.now_ms(),
-    )
-
-
-def list_shared_parts(call: Call) -> str | None:
-    """Return the digests of a prompt's shared parts for the log, None without any.
-
-    All parts but the last may be shared; of a long prompt only the first ones are
-    listed.
-    """
-    shared = call.parts[:-1][:MAX_LOGGED_PARTS]
-    return ",".join(part.digest[:MAX_LOGGED_DIGEST] for part in shared) or None
-
-
 def retry_denial_reason(
     router: Router, job: Job, failure: AttemptFailed
 ) -> Reason | None:
