Keep a silent attempt until another endpoint has answered

Callers of a lookup, or of a stream that had not begun, got 502 endpoint-busy after some 310 ms although their endpoint would have answered after 800 ms of 2,000.

Cause: after three times the route's target (250 ms at an unreachable endpoint) an attempt of which no byte, or only a part, had come was closed before another endpoint had taken the request over. If that one was full or failed, nothing was left. A silence was taken for a fact about the endpoint. Only live streams waited for the other endpoint first.

Now the wait itself asks another endpoint and goes on. Whichever answers first is passed on and the other connection is closed; if the other endpoint refuses or fails, the first one is waited for until the deadline. Live streams use the same mechanism in place of their own. The other attempt has a copy of the job, so that the time it was sent, its crash scores and its bad outcome stay apart from the first one's; endpoints tried are shared, so that attempts stay within max_attempts, and the retry is the one that was reserved. A silence that counted against an endpoint does not count again at the deadline. A prompt whose first endpoint crashes meanwhile ends as engine-crashed, and the other attempt is stopped unless it has answered.

The step of health.feature only follows the renamed function.

--- a/packages/direct/src/pulley_direct/budgets.py
+++ b/packages/direct/src/pulley_direct/budgets.py
@@ -37,7 +37,7 @@
 def reserve_retry(router: Router, job: Job) -> bool:
     """Take the job's next retry from the budget in advance; False if none is left.
 
-    A silent attempt is abandoned only if its retry is certain.
+    Another endpoint is asked beside a silent one only if its retry is certain.
     """
     job.retry_reserved = spend_retry(router, job, Reason.STALLED)
     return job.retry_reserved
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -1,6 +1,9 @@
 """Dispatch of one request: attempts, retries and refusals."""
 
-from pulley_base import Outcome, Reason
+import logging
+from functools import partial
+
+from pulley_base import Outcome, Reason, log_event
 from pulley_http import RequestRefused, Response, drop_hop_by_hop_headers
 
 from .attempts import start_exchange
@@ -12,13 +15,16 @@
 )
 from .exchanges import Exchange, end_exchange, read_whole_body
 from .failures import handle_attempt_failure
-from .jobs import AttemptFailed, Job
+from .jobs import AttemptFailed, Elsewhere, Job
 from .loads import record_success
-from .models import RetryClass
+from .models import Endpoint, RetryClass
 from .outcomes import record_answer_time
 from .placing import Target, choose_target
 from .routers import Router
-from .streams import open_stream
+from .streams import EventStream, open_stream
+from .takeovers import has_other_answer, stop_other, take_other_answer
+
+logger = logging.getLogger(__name__)
 
 # A full endpoint has finished several short requests after this time, and callers
 # that wait a second can still retry within it.
@@ -34,6 +40,27 @@
     Raises RequestRefused if there is none.
     """
     earn_retry(router, job.service)
+    job.elsewhere = Elsewhere(partial(answer_elsewhere, router), discard_response)
+    return await find_answer(router, job)
+
+
+async def find_answer(router: Router, job: Job) -> Response:
+    """Send a job to endpoints until there is an answer, and end all other attempts.
+
+    Raises RequestRefused if there is none.
+    """
+    try:
+        return await send_until_answered(router, job)
+    finally:
+        stop_other(job)
+
+
+async def send_until_answered(router: Router, job: Job) -> Response:
+    """Send a job to endpoints, one after the other, until there is an answer.
+
+    One that was asked beside a silent endpoint may also bring it. Raises
+    RequestRefused if there is none.
+    """
     while True:
         quarantined = find_quarantine(router, job)
         if quarantined is not None:
@@ -52,21 +79,88 @@
         try:
             response = await run_attempt(router, job, target)
         except AttemptFailed as failure:
-            crashed = await record_loss(router, job, failure)
-            handle_attempt_failure(router, job, failure)
-            if crashed:
-                reason = Reason.ENGINE_CRASHED
-            else:
-                reason = retry_denial_reason(router, job, failure)
-            if reason is not None:
-                return fall_back_or_refuse(router, job, reason, str(failure))
-            continue
-        if response.status < FIRST_SERVER_ERROR_STATUS or not should_retry_error(
-            router, job, response
-        ):
+            response = await recover(router, job, failure)
+        else:
+            response = await check_error(router, job, target.endpoint, response)
+        if response is not None:
             return response
 
 
+async def recover(router: Router, job: Job, failure: AttemptFailed) -> Response | None:
+    """Return the answer of an attempt beside a failed one; None to send the job again.
+
+    Raises RequestRefused if there is no answer and the job must not be sent again.
+    """
+    # A silence was recorded when the other endpoint was asked.
+    if failure.reason is not Reason.STALLED:
+        crashed = await record_loss(router, job, failure)
+        handle_attempt_failure(router, job, failure)
+        if crashed and not has_other_answer(job):
+            return fall_back_or_refuse(router, job, Reason.ENGINE_CRASHED, str(failure))
+    response = await take_other_answer(job)
+    if response is not None:
+        return response
+    reason = retry_denial_reason(router, job, failure)
+    if reason is not None:
+        return fall_back_or_refuse(router, job, reason, str(failure))
+    return None
+
+
+async def check_error(
+    router: Router, job: Job, endpoint: Endpoint, response: Response
+) -> Response | None:
+    """Return the answer to pass on; None to send the job again after an error."""
+    if response.status < FIRST_SERVER_ERROR_STATUS:
+        if job.other is not None:
+            log_event(
+                logger,
+                "silent_endpoint_answered",
+                request=job.call.request_id,
+                endpoint=endpoint.name,
+            )
+        return response
+    other = await take_other_answer(job)
+    if other is not None:
+        return other
+    return None if should_retry_error(router, job, response) else response
+
+
+async def answer_elsewhere(
+    router: Router, job: Job, silent: Endpoint
+) -> Response | None:
+    """Find an answer at another endpoint than the silent one; None if there is none.
+
+    An endpoint's error answer is only kept as a fallback. A retry that was not sent
+    stays reserved for the job.
+    """
+    n_sent = len(job.sent_to)
+    spend_retry(router, job, Reason.STALLED)
+    response = None
+    try:
+        response = await find_answer(router, job)
+    except RequestRefused as refusal:
+        log_event(
+            logger,
+            "other_endpoints_refused",
+            request=job.call.request_id,
+            silent=silent.name,
+            reason=refusal.reason,
+            detail=refusal.detail,
+        )
+    if len(job.sent_to) == n_sent:
+        job.retry_reserved = True
+    if response is not None and response.status >= FIRST_SERVER_ERROR_STATUS:
+        job.fallback_response = response
+        return None
+    return response
+
+
+def discard_response(response: Response) -> None:
+    """Close the stream of an answer that is not passed on."""
+    if isinstance(response.body, EventStream):
+        response.body.close()
+
+
 async def run_attempt(router: Router, job: Job, target: Target) -> Response:
     """Make one attempt and return its answer.
 
@@ -141,8 +235,14 @@
         try:
             return await start_resumed_exchange(router, job, target, last_event_id)
         except AttemptFailed as failure:
-            handle_attempt_failure(router, job, failure)
-            job.retry_reserved = not failure.reached
+            if failure.reason is not Reason.STALLED:
+                handle_attempt_failure(router, job, failure)
+            resumed = await take_other_answer(job)
+            if resumed is not None:
+                return resumed
+            job.retry_reserved = job.retry_reserved or not failure.reached
+        finally:
+            stop_other(job)
     return None
 
 
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -1,6 +1,9 @@
 """A request in progress, and the error of a failed attempt."""
 
+import asyncio
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from pulley_base import PulleyError, Reason
 from pulley_http import Response
@@ -23,7 +26,8 @@
     ``last_bad_endpoint`` is the endpoint for which an attempt was last counted as
     bad, ``fallback_response`` an endpoint's error answer that is returned if no
     other attempt succeeds. ``scores`` are those of the request's keys when it was last
-    sent, None once it had a good answer.
+    sent, None once it had a good answer. ``elsewhere`` is set once the job is
+    dispatched; ``other`` is the attempt beside the present one, if that is silent.
     """
 
     call: Call
@@ -43,6 +47,8 @@
     last_bad_endpoint: str | None = None
     fallback_response: Response | None = None
     scores: Scores | None = None
+    elsewhere: "Elsewhere | None" = None
+    other: "OtherAttempt | None" = None
 
     @property
     def may_retry(self) -> bool:
@@ -53,6 +59,31 @@
         return self.route.retryable and len(self.sent_to) < self.route.max_attempts
 
 
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """How a job is tried at another endpoint while its present one is silent.
+
+    ``ask`` gets a copy of the job and the silent endpoint; it returns an answer, None
+    if there is none. ``discard`` releases an answer that is not used.
+    """
+
+    ask: Callable[[Job, Endpoint], Coroutine[Any, Any, Any]]
+    discard: Callable[[Any], None]
+
+
+@dataclass(frozen=True, slots=True)
+class OtherAttempt:
+    """An attempt beside a silent one: its copy of the job, and its task.
+
+    The copy shares the lists of endpoints with the job; ``discard`` releases the
+    task's answer if it is not used.
+    """
+
+    job: Job
+    task: asyncio.Task
+    discard: Callable[[Any], None]
+
+
 class AttemptFailed(PulleyError):
     """An attempt ended without an answer for the caller.
 
--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/outcomes.py
@@ -25,22 +25,28 @@
     Returns the clock reading in ms at which the endpoint's backoff ends, None if
     the reason does not count against the endpoint.
     """
+    counts = counts_against_endpoint(router, job, endpoint, reason)
     job.excluded.add(endpoint.name)
     router.counters.failures[reason] += 1
     backoff_until_ms = None
-    if counts_against_endpoint(router, job, reason):
+    if counts:
         backoff_until_ms = start_backoff(router.loads, endpoint.name)
     if backoff_until_ms is not None or reason is Reason.ENDPOINT_BUSY:
         record_bad_outcome(router, job, endpoint)
     return backoff_until_ms
 
 
-def counts_against_endpoint(router: Router, job: Job, reason: Reason) -> bool:
+def counts_against_endpoint(
+    router: Router, job: Job, endpoint: Endpoint, reason: Reason
+) -> bool:
     """Check whether a failure shows that the endpoint itself is faulty.
 
-    A full endpoint is not faulty, and a short deadline says little.
+    A full endpoint is not faulty, and a short deadline says little. A silence that
+    has already counted does not count again at the deadline.
     """
     if reason is Reason.DEADLINE:
+        if endpoint.name in job.excluded:
+            return False
         return router.clock.now_ms() - job.arrived_ms >= MIN_SILENCE_MS
     return reason not in (Reason.ENDPOINT_BUSY, Reason.WRONG_ENDPOINT)
 
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -1,12 +1,10 @@
 """Event streams: forwarded in whole events, and resumed elsewhere when they break."""
 
-import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 
 from pulley_base import ConnectionLost, PulleyError, Reason, log_event
 from pulley_http import Response, drop_hop_by_hop_headers
-from pulley_http.connections import ClientConnection, read_more
 
 from .crashes import record_good_answer
 from .events import EventBuffer, is_inside_event, take_events, take_rest
@@ -17,12 +15,12 @@
     read_chunk,
     shows_its_end,
 )
-from .jobs import AttemptFailed, Job
+from .jobs import AttemptFailed, Elsewhere, Job
 from .loads import record_success
 from .models import Endpoint
 from .outcomes import MIN_SILENCE_MS, record_failed_attempt
 from .routers import Router
-from .waits import AnswerTimeout
+from .takeovers import stop_other, take_other_answer
 
 logger = logging.getLogger(__name__)
 
@@ -69,53 +67,43 @@
                 record_good_answer(self.router, self.job)
                 return take_rest(self.buffer) or None
             chunk = await read_chunk(self.exchange, self.job)
+            self.keep_endpoint()
             events = take_events(self.buffer, chunk or b"")
             if events:
                 record_good_answer(self.router, self.job)
             return events
-        except AnswerTimeout as error:
-            if error.before_deadline:
-                await self.replace_silent(error)
-            else:
-                await self.replace_broken(error)
         except PulleyError as error:
-            await self.replace_broken(error)
+            await self.continue_elsewhere(error)
         return b""
 
-    async def replace_silent(self, error: AnswerTimeout) -> None:
-        """Continue the stream elsewhere, or wait on if no endpoint takes it over.
-
-        The endpoint may still be at work, so its exchange ends only once another
-        endpoint has answered. If it goes on before that, the other attempt ends.
-        """
-        silent = self.exchange
-        record_broken_stream(silent, self.job, failure_reason(error))
-        resuming = asyncio.create_task(self.resume_elsewhere(silent.endpoint, error))
-        try:
-            await wait_for_either(resuming, silent.channel.connection)
-        finally:
-            resumed = await stop_resuming(resuming)
-            if resumed is not None:
-                end_exchange(silent)
-                self.continue_at(resumed)
-        if resuming.cancelled():
-            log_event(
-                logger,
-                "stream_went_on",
-                request=self.job.call.request_id,
-                endpoint=silent.endpoint.name,
-                last_event_id=self.buffer.last_id,
-            )
+    def keep_endpoint(self) -> None:
+        """Stop an attempt at another endpoint, as this stream goes on here."""
+        if self.job.other is None:
+            return
+        stop_other(self.job)
+        log_event(
+            logger,
+            "stream_went_on",
+            request=self.job.call.request_id,
+            endpoint=self.exchange.endpoint.name,
+            last_event_id=self.buffer.last_id,
+        )
 
-    async def replace_broken(self, error: PulleyError) -> None:
-        """Continue the stream elsewhere.
+    async def continue_elsewhere(self, error: PulleyError) -> None:
+        """Continue at the endpoint that was asked meanwhile, or at another one.
 
-        Raises ConnectionLost if it can't be resumed.
+        Raises ConnectionLost if the stream can't be resumed.
         """
         broken, self.exchange = self.exchange, None
         end_exchange(broken)
-        record_broken_stream(broken, self.job, failure_reason(error))
-        resumed = await self.resume_elsewhere(broken.endpoint, error)
+        reason = failure_reason(error)
+        if reason is not Reason.STALLED:
+            record_broken_stream(broken, self.job, reason)
+        resumed = await take_other_answer(self.job)
+        if resumed is None:
+            resumed = await self.resume_elsewhere(
+                self.job, broken.endpoint, detail=str(error)
+            )
         if resumed is None:
             raise ConnectionLost(
                 "the stream broke off and could not be resumed", step="body"
@@ -123,22 +111,22 @@
         self.continue_at(resumed)
 
     async def resume_elsewhere(
-        self, endpoint: Endpoint, error: PulleyError
+        self, job: Job, endpoint: Endpoint, *, detail: str = "nothing came"
     ) -> Exchange | None:
         """Resume the stream after its last whole event, at another endpoint.
 
         Returns None if it can't be resumed.
         """
-        self.job.may_have_run = True
+        job.may_have_run = True
         resumed = None
-        if self.job.route.resumable:
-            resumed = await self.resume(self.router, self.job, self.buffer.last_id)
+        if job.route.resumable:
+            resumed = await self.resume(self.router, job, self.buffer.last_id)
         log_event(
             logger,
             "stream_broken",
-            request=self.job.call.request_id,
+            request=job.call.request_id,
             endpoint=endpoint.name,
-            detail=str(error),
+            detail=detail,
             last_event_id=self.buffer.last_id,
             resumed_at=None if resumed is None else resumed.endpoint.name,
             kept=resumed is None and self.exchange is not None,
@@ -151,7 +139,12 @@
         self.buffer = EventBuffer(last_id=self.buffer.last_id)
 
     async def aclose(self) -> None:
-        """End the exchange, whether or not it is complete."""
+        """Close the stream."""
+        self.close()
+
+    def close(self) -> None:
+        """End the exchange, whether or not it is complete, and any other attempt."""
+        stop_other(self.job)
         if self.exchange is not None:
             if self.exchange.finished:
                 record_success(self.router.loads, self.exchange.endpoint.name)
@@ -159,25 +152,6 @@
             self.exchange = None
 
 
-async def wait_for_either(resuming: asyncio.Task, connection: ClientConnection) -> None:
-    """Wait until a task is done or bytes have arrived on a connection."""
-    resuming.add_done_callback(lambda _task: connection.wake_reader())
-    n_reads = connection.n_reads
-    while not resuming.done() and connection.n_reads == n_reads:
-        if connection.ended:
-            await asyncio.wait({resuming})
-        else:
-            await read_more(connection, "body")
-
-
-async def stop_resuming(resuming: asyncio.Task) -> Exchange | None:
-    """Cancel a task that is not done; return the exchange of one that is."""
-    if not resuming.done():
-        resuming.cancel()
-        await asyncio.wait({resuming})
-    return None if resuming.cancelled() else resuming.result()
-
-
 def record_broken_stream(exchange: Exchange, job: Job, reason: Reason) -> None:
     """Record a stream that broke off or did not end by its deadline.
 
@@ -227,6 +201,7 @@
             failure_reason(error), str(error), exchange.endpoint, answer_began=True
         ) from error
     job.streaming = True
+    job.elsewhere = Elsewhere(stream.resume_elsewhere, end_exchange)
     headers = [
         pair
         for pair in drop_hop_by_hop_headers(exchange.headers)
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -1,4 +1,4 @@
-"""Waiting for an endpoint's bytes, and when to abandon the wait."""
+"""Waiting for an endpoint's bytes, and when to ask another endpoint meanwhile."""
 
 import asyncio
 
@@ -12,10 +12,11 @@
 from .models import Endpoint, RetryClass
 from .outcomes import record_if_late
 from .routers import Router
+from .takeovers import has_ended_other, has_other_answer, settle_other, start_other
 
 # How often the state of a silent endpoint is checked.
 POLL_INTERVAL_MS = 150
-# Silence after which an attempt is abandoned if connecting to the endpoint fails too.
+# Silence after which another endpoint is asked if connecting to this one fails too.
 UNREACHABLE_WAIT_MS = 250
 # Callers of a stream disconnect after two seconds without an event at the earliest.
 STREAM_STALL_MS = 1_300
@@ -26,7 +27,7 @@
 class AnswerTimeout(PulleyError):
     """No bytes came from an endpoint in time.
 
-    ``before_deadline`` is True if the wait was abandoned before the deadline.
+    ``before_deadline`` is True if another endpoint answered before the deadline.
     """
 
     def __init__(self, message: str, *, step: str, before_deadline: bool):
@@ -39,20 +40,26 @@
 ) -> None:
     """Wait for more bytes until the deadline.
 
-    If the request may be sent again, the wait is also abandoned when the endpoint
-    is unreachable or stays silent for too long. Raises AnswerTimeout.
+    If the request may be sent again, another endpoint is asked when this one is
+    unreachable or stays silent for too long. Raises AnswerTimeout at the deadline, or
+    as soon as the other one has answered.
     """
     silent_ms = 0
     while True:
+        if has_other_answer(job):
+            raise AnswerTimeout(
+                "another endpoint answered", step="wait", before_deadline=True
+            )
+        if has_ended_other(job):
+            settle_other(job)
+            silent_ms = 0
         left_ms = job.deadline_ms - router.clock.now_ms()
         if left_ms <= 0:
             raise AnswerTimeout(
                 "the deadline has passed", step="wait", before_deadline=False
             )
-        unreachable = is_unreachable(router.loads, endpoint.name)
-        if job.may_retry and should_abandon(job, silent_ms, unreachable):
-            if has_other_endpoint(router, job) and reserve_retry(router, job):
-                raise AnswerTimeout("nothing came", step="wait", before_deadline=True)
+        if reserve_other(router, job, endpoint, silent_ms):
+            start_other(router, job, endpoint, connection)
         wait_ms = min(left_ms, POLL_INTERVAL_MS)
         if await read_within(connection, wait_ms, left_ms - wait_ms):
             return
@@ -60,6 +67,16 @@
         record_if_late(router, job, endpoint)
 
 
+def reserve_other(router: Router, job: Job, endpoint: Endpoint, silent_ms: int) -> bool:
+    """Check whether to ask another endpoint now, and reserve the retry for it."""
+    if job.other is not None or not job.may_retry:
+        return False
+    unreachable = is_unreachable(router.loads, endpoint.name)
+    if not should_ask_other(job, silent_ms, unreachable):
+        return False
+    return has_other_endpoint(router, job) and reserve_retry(router, job)
+
+
 def has_other_endpoint(router: Router, job: Job) -> bool:
     """Check whether the service has a usable endpoint that the job has not tried."""
     tried = {*job.sent_to, *job.excluded}
@@ -84,12 +101,12 @@
     return connection.ended or connection.n_reads != n_reads
 
 
-def should_abandon(job: Job, silent_ms: int, unreachable: bool) -> bool:
-    """Check whether a silent attempt should be abandoned for one at another endpoint.
+def should_ask_other(job: Job, silent_ms: int, unreachable: bool) -> bool:
+    """Check whether an attempt's silence is so long that another endpoint is asked.
 
-    Unless its endpoint is unreachable, a stream that has not begun is not
-    abandoned: it may be queued at a busy endpoint, where a second copy of it
-    would only add to the queue.
+    Unless its endpoint is unreachable, none is asked for a stream that has not
+    begun: it may be queued at a busy endpoint, where a second copy of it would
+    only add to the queue.
     """
     if unreachable:
         return silent_ms >= UNREACHABLE_WAIT_MS
--- /dev/null
+++ b/tests/direct/steps/other_attempts.py
@@ -0,0 +1,365 @@
+"""Steps in which another endpoint is asked while the first one is silent."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from unittest.mock import patch
+
+from behave import then, when
+from gated_endpoints import GatedEndpoint, add_gated, release, whole_answer
+from scenes import (
+    CHAT,
+    LOOKUP,
+    ORDER,
+    RouterFixture,
+    call,
+    start_fixture,
+    wait_until_synced,
+)
+from timed_endpoints import answer_head
+
+from pulley_direct.budgets import get_budget
+from pulley_direct.loads import get_state
+from pulley_policy.crashes import LostRequest, Suspect, add_report
+
+TIMEOUT_MS = 1_800
+MAX_TOOK_MS = 1_500
+MAX_LEFT_S = 0.5
+LIMIT_S = 10
+# Longer than the silence after which another endpoint is asked.
+SILENCE_S = 0.6
+FIRST_BODY = b"id: 1\ndata: first\n\n"
+SECOND_BODY = b"id: 1\ndata: second\n\n"
+HEAD = answer_head(f"content-length: {len(FIRST_BODY)}\r\n")
+N_SENT_EARLY = 8
+SERVICES = {"lookup": "shop", "order": "shop", "stream": "model"}
+PATHS = {"lookup": LOOKUP, "order": ORDER, "stream": CHAT}
+OPENINGS = {
+    "nothing": b"",
+    "the head of its answer": HEAD,
+    "a part of its answer": HEAD + FIRST_BODY[:N_SENT_EARLY],
+}
+REFUSAL = b"HTTP/1.1 503 x\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
+ERROR_BODY = b"error\n"
+ERROR = b"HTTP/1.1 500 x\r\nattempt-id: request-1\r\ncontent-length: %d\r\n\r\n%s" % (
+    len(ERROR_BODY),
+    ERROR_BODY,
+)
+ENDS = {
+    "closes the connection": (b"", True),
+    "refuses the request": (REFUSAL, False),
+    "answers with an error": (ERROR, False),
+}
+
+PART_KEY = "model/part/aa"
+EARLIER = LostRequest("earlier", (Suspect(PART_KEY, 1), Suspect("another request", 1)))
+
+
+@dataclass(slots=True)
+class Pair:
+    """A request at a silent endpoint, and a second endpoint that was asked too."""
+
+    fixture: RouterFixture
+    task: asyncio.Task
+    first: GatedEndpoint
+    second: GatedEndpoint
+
+
+@asynccontextmanager
+async def start_pair(
+    kind: str, opening: bytes = b"", *, earlier_crash: bool = False
+) -> AsyncIterator[Pair]:
+    """Send a request to an endpoint that is silent until a second one is asked.
+
+    With ``earlier_crash`` the router learns of another crash in between, with a part of
+    the request.
+    """
+    service = SERVICES[kind]
+    async with asyncio.timeout(LIMIT_S), start_fixture(n_endpoints=0) as fixture:
+        first = await add_gated(fixture, "first", service, opening)
+        await wait_until_synced(fixture)
+        task = asyncio.create_task(call(fixture, PATHS[kind], timeout_ms=TIMEOUT_MS))
+        await first.asked.wait()
+        state = get_state(fixture.router.loads, "first")
+        state.unreachable = kind == "stream"
+        if earlier_crash:
+            evidence = fixture.router.fleet_view.crash_log.evidence
+            assert add_report(evidence, EARLIER, fixture.router.clock.now_ms())
+        second = await add_gated(fixture, "second", service)
+        await wait_until_synced(fixture)
+        await second.asked.wait()
+        yield Pair(fixture, task, first, second)
+
+
+async def read_state(context, pair: Pair) -> None:
+    """Keep the answer, and what the router still holds of the request."""
+    context.answer = await pair.task
+    await asyncio.sleep(0)
+    keep_held(context, pair.fixture)
+
+
+def keep_held(context, fixture: RouterFixture) -> None:
+    """Keep what the router still counts as in flight, and its endpoints' records."""
+    loads = fixture.router.loads
+    names = [one.name for one in fixture.endpoints]
+    context.in_flight = [get_state(loads, name).in_flight for name in names]
+    context.first_state = get_state(loads, "first")
+
+
+async def wait_until_left(*endpoints: GatedEndpoint) -> bool:
+    """Check whether the router closes the connections to these endpoints at once."""
+    try:
+        async with asyncio.timeout(MAX_LEFT_S):
+            for endpoint in endpoints:
+                await endpoint.left.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
+@when("the second endpoint answers a {kind} after the first one sent {opening}")
+def answer_at_second(context, kind, opening):
+    async def run():
+        async with start_pair(kind, OPENINGS[opening]) as pair:
+            release(pair.second, whole_answer(SECOND_BODY))
+            context.left = await wait_until_left(pair.first)
+            await read_state(context, pair)
+
+    asyncio.run(run())
+
+
+@when("the second endpoint answers a lookup between two checks of the first one")
+def answer_between_checks(context):
+    async def run():
+        async with start_pair("lookup") as pair:
+            with patch("pulley_direct.waits.POLL_INTERVAL_MS", TIMEOUT_MS):
+                await asyncio.sleep(SILENCE_S / 2)
+                release(pair.second, whole_answer(SECOND_BODY))
+                await read_state(context, pair)
+
+    asyncio.run(run())
+
+
+@when("the first endpoint answers a {kind} of which it had sent {opening}")
+def answer_at_first(context, kind, opening):
+    async def run():
+        async with start_pair(kind, OPENINGS[opening]) as pair:
+            answer = whole_answer(FIRST_BODY)
+            release(pair.first, answer[len(OPENINGS[opening]) :])
+            context.left = await wait_until_left(pair.second)
+            await read_state(context, pair)
+
+    asyncio.run(run())
+
+
+async def fail_at(endpoint, end, other, body) -> None:
+    """Let one endpoint fail, and the other one answer later."""
+    data, closes = ENDS[end]
+    release(endpoint, data, closes=closes)
+    await asyncio.sleep(SILENCE_S / 2)
+    release(other, whole_answer(body))
+
+
+@when("the first endpoint of a {kind} {end} and the second one answers")
+def fail_at_first(context, kind, end):
+    async def run():
+        async with start_pair(kind) as pair:
+            await fail_at(pair.first, end, pair.second, SECOND_BODY)
+            await read_state(context, pair)
+
+    asyncio.run(run())
+
+
+@when("the second endpoint of a {kind} {end} and the first one answers")
+def fail_at_second(context, kind, end):
+    async def run():
+        async with start_pair(kind) as pair:
+            await fail_at(pair.second, end, pair.first, FIRST_BODY)
+            await read_state(context, pair)
+
+    asyncio.run(run())
+
+
+@when("the second endpoint of a lookup answers with an error and the first one never")
+def never_answer(context):
+    async def run():
+        async with start_pair("lookup") as pair:
+            release(pair.second, ERROR)
+            await read_state(context, pair)
+
+    asyncio.run(run())
+
+
+@when("both endpoints of a {kind} answer at once")
+def answer_at_both(context, kind):
+    async def run():
+        async with start_pair(kind) as pair:
+            release(pair.first, whole_answer(FIRST_BODY))
+            release(pair.second, whole_answer(SECOND_BODY))
+            await read_state(context, pair)
+
+    asyncio.run(run())
+
+
+@when("the caller of a {kind} leaves while both endpoints are at work")
+def leave(context, kind):
+    async def run():
+        async with start_pair(kind) as pair:
+            pair.task.cancel()
+            await asyncio.wait({pair.task})
+            context.left = await wait_until_left(pair.first, pair.second)
+            keep_held(context, pair.fixture)
+            context.n_open = sum(pair.fixture.router.pool.n_open.values())
+
+    asyncio.run(run())
+
+
+def read_without_second(context, kind: str, *, n_retries: float | None = None) -> None:
+    """Read a late answer of one endpoint while another one is free.
+
+    ``n_retries`` replaces what is left of the retry budget.
+    """
+
+    async def run():
+        async with start_fixture(n_endpoints=0) as fixture:
+            first = await add_gated(fixture, "first", "shop")
+            await wait_until_synced(fixture)
+            calling = call(fixture, PATHS[kind], timeout_ms=TIMEOUT_MS)
+            task = asyncio.create_task(calling)
+            await first.asked.wait()
+            if n_retries is not None:
+                get_budget(fixture.router, "shop").left = n_retries
+            context.second = await add_gated(fixture, "second", "shop")
+            await asyncio.sleep(SILENCE_S)
+            release(first, whole_answer(FIRST_BODY))
+            context.answer = await task
+
+    asyncio.run(run())
+
+
+@when("the endpoint of an order is silent while another one is free")
+def wait_for_order(context):
+    read_without_second(context, "order")
+
+
+@when("no retry is left while the endpoint of a lookup is silent")
+def spend_budget(context):
+    read_without_second(context, "lookup", n_retries=0.0)
+
+
+@when("the second of three endpoints refuses a lookup and the first one answers late")
+def refuse_at_second(context):
+    async def run():
+        async with start_pair("lookup") as pair:
+            budget = get_budget(pair.fixture.router, "shop")
+            context.third = await add_gated(pair.fixture, "third", "shop")
+            await wait_until_synced(pair.fixture)
+            release(pair.second, REFUSAL)
+            await asyncio.sleep(SILENCE_S)
+            release(pair.first, whole_answer(FIRST_BODY))
+            await read_state(context, pair)
+            context.n_spent = budget.maximum - budget.left
+
+    asyncio.run(run())
+
+
+@when("neither endpoint of a lookup answers")
+def let_both_pass(context):
+    async def run():
+        async with start_pair("lookup") as pair:
+            await read_state(context, pair)
+
+    asyncio.run(run())
+
+
+@when("the first endpoint of a stream crashes while the second one is at work")
+def crash_at_first(context):
+    async def run():
+        async with start_pair("stream", HEAD, earlier_crash=True) as pair:
+            pair.first.server.listener.close()
+            release(pair.first, b"", closes=True)
+            context.left = await wait_until_left(pair.second)
+            await read_state(context, pair)
+            context.lost = pair.fixture.router.fleet_view.crash_log.own_lost
+
+    asyncio.run(run())
+
+
+@then("the caller gets the {which} endpoint's whole answer")
+def check_answer(context, which):
+    answer = context.answer
+    body = {"first": FIRST_BODY, "second": SECOND_BODY}[which]
+    assert (answer.status, answer.whole, answer.body) == (200, True, body), answer
+
+
+@then("the caller gets it long before the deadline")
+def check_time(context):
+    assert context.answer.took_ms < MAX_TOOK_MS, context.answer.took_ms
+
+
+@then("the caller gets one whole answer")
+def check_one_answer(context):
+    answer = context.answer
+    assert (answer.status, answer.whole) == (200, True), answer
+    assert answer.body in (FIRST_BODY, SECOND_BODY), answer
+
+
+@then("the caller gets the second endpoint's error")
+def check_error(context):
+    answer = context.answer
+    assert (answer.status, answer.body) == (500, ERROR_BODY), answer
+
+
+@then("the caller is told {status:d}, {reason}")
+def check_refusal(context, status, reason):
+    answer = context.answer
+    assert answer.status == status and reason.encode() in answer.body, answer
+
+
+@then("the other endpoint's connection is closed at once")
+@then("both connections are closed at once")
+def check_left(context):
+    assert context.left
+
+
+@then("nothing is in flight")
+def check_none_in_flight(context):
+    assert not any(context.in_flight), context.in_flight
+
+
+@then("no connection to an endpoint is open")
+def check_none_open(context):
+    assert context.n_open == 0, context.n_open
+
+
+@then("the second endpoint got nothing")
+def check_second(context):
+    assert not context.second.asked.is_set()
+
+
+@then("the third endpoint got nothing, and one retry was spent")
+def check_third(context):
+    assert not context.third.asked.is_set()
+    assert context.n_spent == 1.0, context.n_spent
+
+
+@then("the first endpoint has one bad outcome, and no failure")
+def check_late(context):
+    state = context.first_state
+    assert round(state.record.bad, 1) == 1.0, state
+    assert state.record.good == 0.0 and state.n_failures == 0, state
+
+
+@then("the first endpoint has one bad outcome, and one failure")
+def check_silent(context):
+    state = context.first_state
+    assert round(state.record.bad, 1) == 1.0, state
+    assert state.n_failures == 1, state
+
+
+@then("the first endpoint's crash is held against what was known when it was asked")
+def check_lost(context):
+    (lost,) = context.lost
+    depths = {suspect.key: suspect.depth for suspect in lost.suspects}
+    assert depths[PART_KEY] == 1, lost
--- a/tests/spreads/steps/health.py
+++ b/tests/spreads/steps/health.py
@@ -11,7 +11,7 @@
 from pulley_direct.loads import LoadTable, eject_outlier, is_eligible, record_outcome
 from pulley_direct.models import RetryClass, Route
 from pulley_direct.outcomes import is_late
-from pulley_direct.waits import should_abandon
+from pulley_direct.waits import should_ask_other
 from pulley_policy.health import decay
 
 SEED = 5
@@ -164,7 +164,7 @@
 @then("the attempt is not abandoned and does not count as late")
 def check_waiting(context):
     router = SimpleNamespace(clock=Clock(lambda: context.silent_ms))
-    assert not should_abandon(context.job, context.silent_ms, unreachable=False)
+    assert not should_ask_other(context.job, context.silent_ms, unreachable=False)
     assert not is_late(router, context.job)
 
 
