Log the load that was believed and reported for a request

The log could not say why: it names the endpoint of a request, but neither what the router believed of it nor what it held.

The line of an answered request now also has the estimate of its endpoint and of the mean at the choice, its rank for the prompt, and the load that the endpoint reported with its answer. No line is added.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -141,6 +141,8 @@
     allow_late_reading(channel, len(job.body), left_ms)
     job.sent_to.append(endpoint.name)
     job.sent_ms = router.clock.now_ms()
+    job.placement = target.placement
+    job.reported = None
     connection.transport.write(encode_request(connection.h11, request, job.body))
     try:
         head, metadata = await read_matching_head(
@@ -148,6 +150,7 @@
         )
     except PulleyError as error:
         raise AttemptFailed(failure_reason(error), str(error), endpoint) from error
+    job.reported = metadata.load
     record_report(router.loads, endpoint.name, metadata.load)
     answer_headers = [(bytes(key), bytes(value)) for key, value in head.headers]
     return Exchange(
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -190,4 +190,22 @@
         version=job.version,
         version_age_ms=configuration_age_ms(router.fleet_view),
         first_byte_ms=took_ms,
+        **describe_load(job),
     )
+
+
+def describe_load(job: Job) -> dict[str, object]:
+    """Return the log fields that tell a choice by what was believed of the loads.
+
+    ``load`` and ``mean`` are the router's estimates when it chose the endpoint,
+    ``reported`` is the load that the endpoint reported with its answer.
+    """
+    placement, reported = job.placement, job.reported
+    if placement is None:
+        return {}
+    return {
+        "rank": placement.rank,
+        "load": round(placement.load, 1),
+        "mean": round(placement.mean, 2),
+        "reported": None if reported is None else reported.running + reported.waiting,
+    }
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -6,7 +6,21 @@
 from pulley_http import Response
 from pulley_policy.crashes import Scores
 
-from .models import Call, Endpoint, Route, Team
+from .models import Call, Endpoint, ReportedLoad, Route, Team
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """What the router believed when it chose an endpoint.
+
+    ``load`` is the estimate of the requests at the endpoint, ``mean`` that of all
+    endpoints that could have been chosen; ``rank`` is the endpoint's place among
+    them for a prompt, 0 for its home, None for other requests.
+    """
+
+    rank: int | None
+    load: float
+    mean: float
 
 
 @dataclass(slots=True)
@@ -23,7 +37,8 @@
     ``last_bad_endpoint`` is the endpoint for which an attempt was last counted as
     bad, ``fallback_response`` an endpoint's error answer that is returned if no
     other attempt succeeds. ``scores`` are those of the request's keys when it was last
-    sent, None once it had a good answer.
+    sent, None once it had a good answer. ``placement`` tells why the endpoint of the
+    last attempt was chosen, ``reported`` is the load that this endpoint reported.
     """
 
     call: Call
@@ -43,6 +58,8 @@
     last_bad_endpoint: str | None = None
     fallback_response: Response | None = None
     scores: Scores | None = None
+    placement: Placement | None = None
+    reported: ReportedLoad | None = None
 
     @property
     def may_retry(self) -> bool:
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -7,7 +7,7 @@
 from pulley_policy.spreads import Option, choose_idle, choose_warm
 
 from .beliefs import service_places, usable_endpoints
-from .jobs import Job
+from .jobs import Job, Placement
 from .loads import estimate_load, is_backing_off, is_eligible
 from .models import Endpoint, PromptPart
 from .routers import Router
@@ -27,6 +27,7 @@
     """
 
     endpoint: Endpoint
+    placement: Placement
     context_source: str | None = None
 
 
@@ -46,7 +47,8 @@
         places = service_places(router.fleet_view, job.service, usable)
         return choose_prompt_target(router, job, key, candidates, places)
     options = [make_option(router, endpoints[name]) for name in candidates]
-    return Target(endpoints[choose_idle(options, random).name])
+    chosen = choose_idle(options, random)
+    return Target(endpoints[chosen.name], describe_placement(options, chosen))
 
 
 def choose_prompt_target(
@@ -63,11 +65,24 @@
     ordered = [name for name in order_places(key, places) if name in candidates]
     options = [make_option(router, endpoints[name]) for name in ordered]
     factor = router.settings.bounds.load_factor
-    chosen = choose_warm(options, factor).name
+    option = choose_warm(options, factor)
+    chosen = option.name
     sources = order_sources(key, places, chosen)
     if not sources:
         sources = order_first_part_holders(job, places, chosen)
-    return Target(endpoints[chosen], find_available_address(router, sources))
+    return Target(
+        endpoints[chosen],
+        describe_placement(options, option, rank=options.index(option)),
+        find_available_address(router, sources),
+    )
+
+
+def describe_placement(
+    options: list[Option], chosen: Option, rank: int | None = None
+) -> Placement:
+    """Return why an endpoint was chosen, for the log."""
+    mean = sum(option.load for option in options) / len(options)
+    return Placement(rank, chosen.load, mean)
 
 
 def order_first_part_holders(job: Job, places: list[Place], chosen: str) -> list[str]:
--- a/tests/adapter/adapter.feature
+++ b/tests/adapter/adapter.feature
@@ -81,6 +81,7 @@
     When the program is built, started with a settings file and stopped by SIGTERM
     Then it was ready, answered a request and exited with 0
     And its log shows the request with its endpoint, version and route
+    And the log tells which load the router believed and which the endpoint reported
 
   Scenario: A changed settings file is reloaded without a signal
     When the settings file of a running router changes
--- a/tests/adapter/steps/runs.py
+++ b/tests/adapter/steps/runs.py
@@ -107,6 +107,14 @@
         assert part in line, line
 
 
+@then("the log tells which load the router believed and which the endpoint reported")
+def check_load_logged(context):
+    lines = context.result[3].splitlines()
+    (line,) = [line for line in lines if "request=request-9" in line]
+    for part in ("load=0.0", "mean=0.0", "reported="):
+        assert f" {part}" in line, line
+
+
 @when("the settings file of a running router changes")
 def change_settings_file(context):
     async def run_router(path):
