Tell other routers of endpoints over their bound

Callers saw late answers at a few overloaded endpoints while others had room.

Cause: an endpoint reports its load only with its answers, and those of a busy one begin late. With 46 routers and 26 endpoints a router hears of each about every five seconds, and forgets in three.

A router that hears of a load over the bound now tells twelve others, each endpoint at most ten times a second. A datagram is taken only from a listed router and for a listed endpoint; one that is lost costs nothing.

--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -23,6 +23,7 @@
 from .crash_reports import publish_reports
 from .followers import follow_store
 from .front import handle_request
+from .gossip import close_gossip, open_gossip
 from .loads import LoadTable, remove_unlisted
 from .models import HeaderCodec, RouterSettings
 from .rotation import LAST_CONNECTIONS_MS
@@ -106,6 +107,7 @@
         settings.ready_address, lambda request: answer_ready(router, request)
     )
     admin_server = await listen_admin(router)
+    await open_gossip(router)
     log_event(logger, "started", instance=settings.instance, at_ms=clock.now_ms())
     bounds = settings.bounds
     in_force_ms = min(bounds.configuration_ms, bounds.drain_ms)
@@ -122,6 +124,7 @@
     """Cancel the tasks and close every connection."""
     for task in running.tasks:
         task.cancel()
+    close_gossip(running.router)
     for server in filter(
         None, (running.caller_server, running.ready_server, running.admin_server)
     ):
--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -28,6 +28,7 @@
     Exchange,
     failure_reason,
 )
+from .gossip import tell_load
 from .jobs import AttemptFailed, Job
 from .loads import get_state, record_report
 from .models import AnswerMetadata, AttemptParameters, Endpoint
@@ -150,8 +151,7 @@
         )
     except PulleyError as error:
         raise AttemptFailed(failure_reason(error), str(error), endpoint) from error
-    job.reported = metadata.load
-    record_report(router.loads, endpoint.name, metadata.load)
+    record_head(router, job, endpoint, metadata)
     answer_headers = [(bytes(key), bytes(value)) for key, value in head.headers]
     return Exchange(
         router=router,
@@ -164,6 +164,15 @@
     )
 
 
+def record_head(
+    router: Router, job: Job, endpoint: Endpoint, metadata: AnswerMetadata
+) -> None:
+    """Record the load reported in an answer's head, and tell other routers of it."""
+    job.reported = metadata.load
+    record_report(router.loads, endpoint.name, metadata.load)
+    tell_load(router, job, endpoint)
+
+
 def build_request_headers(
     router: Router,
     job: Job,
--- a/packages/direct/src/pulley_direct/counters.py
+++ b/packages/direct/src/pulley_direct/counters.py
@@ -9,6 +9,10 @@
 CANCELLED = "cancelled"
 UNANSWERED = "unanswered"
 
+SENT = "sent"
+RECEIVED = "received"
+DROPPED = "dropped"
+
 
 @dataclass(slots=True)
 class Histogram:
@@ -26,6 +30,8 @@
 
     ``unfinished`` counts the requests without a whole answer: ``CANCELLED`` if the
     caller left before one began, ``UNANSWERED`` if the router ended the connection.
+    ``gossip`` counts the datagrams about endpoints' loads: ``SENT`` and ``RECEIVED``
+    ones, and those that were ``DROPPED`` because they are not valid.
     """
 
     answers: Counter = field(default_factory=Counter)
@@ -34,6 +40,7 @@
     failures: Counter = field(default_factory=Counter)
     first_byte: Histogram = field(default_factory=Histogram)
     unfinished: Counter = field(default_factory=Counter)
+    gossip: Counter = field(default_factory=Counter)
 
 
 def observe_ms(histogram: Histogram, duration_ms: int) -> None:
@@ -63,6 +70,7 @@
             ("plantainpulley_direct_retries", "reason", counters.retries),
             ("plantainpulley_direct_attempt_failures", "reason", counters.failures),
             ("plantainpulley_direct_unfinished", "end", counters.unfinished),
+            ("plantainpulley_direct_gossip", "event", counters.gossip),
         ):
             family = CounterMetricFamily(name, f"{name} by {label}", labels=[label])
             for key, count in counts.items():
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -207,5 +207,5 @@
         "rank": placement.rank,
         "load": round(placement.load, 1),
         "mean": round(placement.mean, 2),
-        "reported": None if reported is None else reported.running + reported.waiting,
+        "reported": None if reported is None else reported.n_requests,
     }
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -14,13 +14,15 @@
     """What the router believed when it chose an endpoint.
 
     ``load`` is the estimate of the requests at the endpoint, ``mean`` that of all
-    endpoints that could have been chosen; ``rank`` is the endpoint's place among
-    them for a prompt, 0 for its home, None for other requests.
+    endpoints that could have been chosen; ``bound`` is the endpoint's load bound.
+    ``rank`` is the endpoint's place among them for a prompt, 0 for its home, None for
+    other requests.
     """
 
     rank: int | None
     load: float
     mean: float
+    bound: float
 
 
 @dataclass(slots=True)
--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -33,7 +33,8 @@
     ``backoff_until_ms`` the endpoint gets no work unless no other endpoint is
     left. ``unreachable`` says that the last attempt to connect to it failed.
     ``record`` counts its good and bad outcomes; until ``ejected_until_ms`` the
-    endpoint gets no work because it serves far worse than the others.
+    endpoint gets no work because it serves far worse than the others. Other routers
+    are not told of its load again before ``tell_after_ms``.
     """
 
     in_flight: int = 0
@@ -44,6 +45,7 @@
     unreachable: bool = False
     record: Record = field(default_factory=Record)
     ejected_until_ms: int = 0
+    tell_after_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -72,11 +74,14 @@
 
 def record_report(table: LoadTable, name: str, report: ReportedLoad | None) -> None:
     """Record the load that an endpoint reported with an answer to this router."""
-    if report is None:
-        return
+    if report is not None:
+        record_load(table, name, report.n_requests)
+
+
+def record_load(table: LoadTable, name: str, n_requests: int) -> None:
+    """Record how many requests an endpoint holds now, those of this router included."""
     state = get_state(table, name)
-    n_reported = report.running + report.waiting
-    state.other_requests = max(0.0, n_reported - state.in_flight)
+    state.other_requests = max(0.0, n_requests - state.in_flight)
     state.reported_ms = table.clock.now_ms()
 
 
--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -200,6 +200,11 @@
     waiting: int
     slots: int
 
+    @property
+    def n_requests(self) -> int:
+        """Return all requests at the endpoint."""
+        return self.running + self.waiting
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerMetadata:
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -4,7 +4,7 @@
 from random import random
 
 from pulley_policy.homes import Place, order_places, order_sources
-from pulley_policy.spreads import Option, choose_idle, choose_warm
+from pulley_policy.spreads import Option, choose_idle, choose_warm, load_bounds
 
 from .beliefs import service_places, usable_endpoints
 from .jobs import Job, Placement
@@ -43,12 +43,13 @@
     eligible = {name for name in endpoints if is_eligible(router.loads, name)}
     candidates = eligible or set(endpoints)
     key = shared_part_key(job)
+    factor = router.settings.bounds.load_factor
     if key is not None:
         places = service_places(router.fleet_view, job.service, usable)
         return choose_prompt_target(router, job, key, candidates, places)
     options = [make_option(router, endpoints[name]) for name in candidates]
     chosen = choose_idle(options, random)
-    return Target(endpoints[chosen.name], describe_placement(options, chosen))
+    return Target(endpoints[chosen.name], describe_placement(options, chosen, factor))
 
 
 def choose_prompt_target(
@@ -72,17 +73,18 @@
         sources = order_first_part_holders(job, places, chosen)
     return Target(
         endpoints[chosen],
-        describe_placement(options, option, rank=options.index(option)),
+        describe_placement(options, option, factor, rank=options.index(option)),
         find_available_address(router, sources),
     )
 
 
 def describe_placement(
-    options: list[Option], chosen: Option, rank: int | None = None
+    options: list[Option], chosen: Option, factor: float, rank: int | None = None
 ) -> Placement:
-    """Return why an endpoint was chosen, for the log."""
+    """Return what was believed of the loads when an endpoint was chosen."""
     mean = sum(option.load for option in options) / len(options)
-    return Placement(rank, chosen.load, mean)
+    bound = load_bounds(options, factor)[chosen.name]
+    return Placement(rank, chosen.load, mean, bound)
 
 
 def order_first_part_holders(job: Job, places: list[Place], chosen: str) -> list[str]:
--- a/packages/direct/src/pulley_direct/routers.py
+++ b/packages/direct/src/pulley_direct/routers.py
@@ -1,5 +1,6 @@
 """The state of one router, shared by the modules that handle its requests."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from pulley_base import Clock
@@ -18,7 +19,8 @@
     """All state that handling a request reads or changes.
 
     ``stops_at_ms`` is the clock reading at which the process is killed at the
-    latest, None before SIGTERM.
+    latest, None before SIGTERM. ``gossip`` is the socket for datagrams between
+    routers, None without one.
     """
 
     settings: RouterSettings
@@ -32,3 +34,4 @@
     routes: RouteIndex = field(default_factory=RouteIndex)
     n_in_flight: int = 0
     stops_at_ms: int | None = None
+    gossip: asyncio.DatagramTransport | None = None
--- /dev/null
+++ b/tests/direct/gossip.feature
@@ -0,0 +1,28 @@
+Feature: Routers tell each other of overloaded endpoints
+
+  # Guards against a router that sends to an overloaded endpoint it has not heard from.
+  Scenario: A router learns of an overloaded endpoint from another router
+    Given two routers and 4 endpoints
+    When the home of a prompt reports 40 requests to the first router
+    Then the second router sends the prompt to another endpoint
+
+  Scenario Outline: A datagram <kind> changes nothing
+    Given two routers and 4 endpoints
+    When the second router gets a datagram <kind>
+    Then it counts the datagram as dropped and knows no load
+
+    Examples:
+      | kind                               |
+      | from an address that no router has |
+      | about an endpoint that nobody lists |
+      | with a negative load               |
+      | with an enormous load              |
+      | with a load that is no number      |
+      | without a load                     |
+      | of another kind                    |
+      | of bytes that are no text          |
+      | longer than any message            |
+
+  Scenario: A router serves although its port for datagrams is taken
+    When a router starts whose port for datagrams is taken
+    Then it answers a request
