--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -4,10 +4,10 @@
 from random import random
 
 from pulley_policy.homes import Place, order_places, order_sources
-from pulley_policy.spreads import Option, choose_idle, choose_warm
+from pulley_policy.spreads import Option, choose_idle, choose_warm, load_bounds
 
 from .beliefs import service_places, usable_endpoints
-from .jobs import Job
+from .jobs import Job, Placement
 from .loads import estimate_load, is_backing_off, is_eligible
 from .models import Endpoint, PromptPart
 from .routers import Router
@@ -27,6 +27,7 @@
     """
 
     endpoint: Endpoint
+    placement: Placement
     context_source: str | None = None
 
 
@@ -42,11 +43,13 @@
     eligible = {name for name in endpoints if is_eligible(router.loads, name)}
     candidates = eligible or set(endpoints)
     key = shared_part_key(job)
+    factor = router.settings.bounds.load_factor
     if key is not None:
         places = service_places(router.fleet_view, job.service, usable)
         return choose_prompt_target(router, job, key, candidates, places)
     options = [make_option(router, endpoints[name]) for name in candidates]
-    return Target(endpoints[choose_idle(options, random).name])
+    chosen = choose_idle(options, random)
+    return Target(endpoints[chosen.name], describe_placement(options, chosen, factor))
 
 
 def choose_prompt_target(
@@ -63,11 +66,25 @@
     ordered = [name for name in order_places(key, places) if name in candidates]
     options = [make_option(router, endpoints[name]) for name in ordered]
     factor = router.settings.bounds.load_factor
-    chosen = choose_warm(options, factor).name
+    option = choose_warm(options, factor)
+    chosen = option.name
     sources = order_sources(key, places, chosen)
     if not sources:
         sources = order_first_part_holders(job, places, chosen)
-    return Target(endpoints[chosen], find_available_address(router, sources))
+    return Target(
+        endpoints[chosen],
+        describe_placement(options, option, factor, rank=options.index(option)),
+        find_available_address(router, sources),
+    )
+
+
+def describe_placement(
+    options: list[Option], chosen: Option, factor: float, rank: int | None = None
+) -> Placement:
+    """Return what was believed of the loads when an endpoint was chosen."""
+    mean = sum(option.load for option in options) / len(options)
+    bound = load_bounds(options, factor)[chosen.name]
+    return Placement(rank, chosen.load, mean, bound)
 
 
 def order_first_part_holders(job: Job, places: list[Place], chosen: str) -> list[str]:
