Write crash reports again while they hold

Seen: a router that starts after an outage of the store sends prompts that the others refuse.

Cause: a router wrote its crash reports once, under a lease of ten minutes that nobody renewed. Leases may end while the store is down. The entry was then gone, though the reports still held at all routers that had read them.

Evidence: tests/direct/crash_reports.feature removes the entry with its lease. On the code before: "ASSERT FAILED: not written again" after 1 s, with the interval set to 20 ms.

Fix: the task that writes the reports wakes every 150 s, too, and writes what still holds. A lease is reused while 450 s are left of it, so at least 300 s are left at any time. Clearances are kept for 20 minutes, as reports that they answer may stay in the store until their lease ends.

Result: the scenario passes; the entry is back under a second lease.

--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -10,6 +10,7 @@
     LostRequest,
     add_clearance,
     add_report,
+    drop_first,
     is_quarantined,
     score_key,
 )
@@ -23,6 +24,8 @@
 MAX_OWN_REPORTS = 32
 MAX_OWN_CLEARANCES = 32
 MAX_SHARED_CRASHES = 32
+# Reports of other routers that it answers may stay in the store for this long.
+CLEARANCE_MS = 1_200_000
 # One more crash would quarantine a key with this score, so other routers are told of
 # its clearance.
 SHARED_CLEARANCE_SCORE = 1
@@ -33,14 +36,14 @@
 class CrashLog:
     """The evidence of crashes, and this router's own part of it.
 
-    ``own_lost`` and ``own_cleared`` are to be written to the store when ``changed``
-    is notified, ``pending`` until they are written. ``quarantined`` holds the keys
-    whose quarantine was logged.
+    ``own_lost`` and ``own_cleared``, with the clock reading in ms of each clearance,
+    are to be written to the store when ``changed`` is notified, ``pending`` until
+    they are written. ``quarantined`` holds the keys whose quarantine was logged.
     """
 
     evidence: Evidence = field(default_factory=Evidence)
     own_lost: list[LostRequest] = field(default_factory=list)
-    own_cleared: list[Clearance] = field(default_factory=list)
+    own_cleared: dict[Clearance, int] = field(default_factory=dict)
     pending: bool = False
     changed: Signal = field(default_factory=Signal)
     quarantined: set[str] = field(default_factory=set)
@@ -64,8 +67,8 @@
     log_clearance(crash_log, OWN, clearance)
     log_quarantines(crash_log, now_ms)
     newest = clearance.crashes[-MAX_SHARED_CRASHES:]
-    crash_log.own_cleared.append(Clearance(clearance.key, newest))
-    del crash_log.own_cleared[:-MAX_OWN_CLEARANCES]
+    crash_log.own_cleared[Clearance(clearance.key, newest)] = now_ms
+    drop_first(crash_log.own_cleared, MAX_OWN_CLEARANCES)
     share(crash_log)
 
 
--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -1,21 +1,26 @@
-"""The router's own crash reports in the store, under a lease that is not renewed."""
+"""The router's own crash reports in the store, written again while they hold."""
 
 import asyncio
 import logging
 from dataclasses import dataclass
 
 from pulley_base import Clock, PulleyError, log_event, to_seconds, wall_time_ms
-from pulley_policy.crashes import HOLD_MS
+from pulley_policy.crashes import remove_expired
 
-from .crash_log import CrashLog
+from .crash_log import CLEARANCE_MS, CrashLog
 from .models import CrashReports
 from .routers import Router
+from .signals import wait_until
 from .store_calls import StoreCallRefused, StoreClient
 
 logger = logging.getLogger(__name__)
 
-# A lease is reused for later reports while these still hold for long enough.
-LEASE_TTL_MS = 2 * HOLD_MS
+# The longest lease that the store grants. It is reused for later writes while enough
+# of it is left for some further ones to fail.
+LEASE_TTL_MS = 600_000
+MIN_LEASE_LEFT_MS = 450_000
+# An entry may have been removed with its lease, as leases end while the store is down.
+REFRESH_INTERVAL_MS = 150_000
 # Reports that follow each other are written together.
 MIN_WRITE_INTERVAL_MS = 100
 RETRY_DELAY_MS = 500
@@ -31,7 +36,7 @@
 
 
 async def publish_reports(store: StoreClient, router: Router) -> None:
-    """Write this router's reports to the store whenever they change.
+    """Write this router's reports whenever they change, and again while they hold.
 
     The entry's name holds the time of the router's start: the reports of an earlier
     process of this router stay until they lapse.
@@ -41,8 +46,12 @@
     name = f"{router.settings.instance}.{started_ms}"
     lease = None
     while True:
-        while not crash_log.pending:
-            await crash_log.changed.wait()
+        await wait_until(
+            crash_log.changed, lambda: crash_log.pending, REFRESH_INTERVAL_MS
+        )
+        drop_expired(crash_log, router.clock.now_ms())
+        if not (crash_log.pending or crash_log.own_lost or crash_log.own_cleared):
+            continue
         try:
             lease = await write_reports(store, router, crash_log, name, lease)
             await asyncio.sleep(to_seconds(MIN_WRITE_INTERVAL_MS))
@@ -65,10 +74,8 @@
     now_ms = router.clock.now_ms()
     if lease is None or lease.reuse_until_ms <= now_ms:
         granted = await store.grant_lease(LEASE_TTL_MS)
-        lease = ReportLease(granted.lease, now_ms + granted.ttl_ms - HOLD_MS)
+        lease = ReportLease(granted.lease, now_ms + granted.ttl_ms - MIN_LEASE_LEFT_MS)
     crash_log.pending = False
-    held = crash_log.evidence.reports
-    crash_log.own_lost = [lost for lost in crash_log.own_lost if lost.id in held]
     reports = CrashReports(
         name, tuple(crash_log.own_lost), tuple(crash_log.own_cleared)
     )
@@ -76,6 +83,19 @@
     return lease
 
 
+def drop_expired(crash_log: CrashLog, now_ms: int) -> None:
+    """Drop this router's reports and clearances whose time is over."""
+    evidence = crash_log.evidence
+    remove_expired(evidence, now_ms)
+    own_lost = crash_log.own_lost
+    crash_log.own_lost = [lost for lost in own_lost if lost.id in evidence.reports]
+    while crash_log.own_cleared:
+        oldest = next(iter(crash_log.own_cleared))
+        if now_ms - crash_log.own_cleared[oldest] < CLEARANCE_MS:
+            return
+        del crash_log.own_cleared[oldest]
+
+
 def is_lease_lost(error: PulleyError) -> bool:
     """Check whether the store refused a write because its lease has ended."""
     return isinstance(error, StoreCallRefused) and error.status == NOT_FOUND_STATUS
--- /dev/null
+++ b/tests/direct/crash_reports.feature
@@ -0,0 +1,11 @@
+Feature: A router keeps its crash reports in the store while they hold
+
+  The store's calls are replaced; no connection is opened. Reports are written again
+  every 20 ms.
+
+  # Guards against a router that starts after an outage of the store in which leases
+  # ended, and sends what the others refuse.
+  Scenario: Leases end while the store is down
+    Given a router that has written a report of a request lost in a crash
+    When the report is removed and its lease has ended
+    Then the report is written again under another lease within 5 s
--- /dev/null
+++ b/tests/direct/steps/crash_reports.py
@@ -0,0 +1,95 @@
+"""Steps that publish a router's crash reports to a store that forgets them."""
+
+import asyncio
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from behave import given, then, when
+
+from pulley_base import Clock, to_seconds
+from pulley_direct import crash_reports
+from pulley_direct.beliefs import FleetView
+from pulley_direct.crash_log import record_own_loss
+from pulley_direct.store_calls import LeaseGranted, StoreCallRefused
+from pulley_policy.crashes import LostRequest, Suspect
+
+REFRESH_MS = 20
+POLL_MS = 5
+PART = "model/part/dead"
+LOST = LostRequest("one", (Suspect(PART, 1), Suspect("request-1", 1)))
+
+
+class FakeStore:
+    """Takes reports under leases that have not ended; ``entry`` is the last one."""
+
+    def __init__(self):
+        self.leases: list[int] = []
+        self.ended: set[int] = set()
+        self.entry = None
+
+    async def grant_lease(self, ttl_ms: int) -> LeaseGranted:
+        """Grant a new lease."""
+        self.leases.append(len(self.leases) + 1)
+        return LeaseGranted(self.leases[-1], ttl_ms)
+
+    async def report_crashes(self, reports, lease: int) -> None:
+        """Keep an entry, or refuse it as its lease has ended."""
+        if lease in self.ended:
+            raise StoreCallRefused(404, "write", "store")
+        self.entry = reports
+
+
+def make_router(name: str, store: FakeStore):
+    """Return what ``publish_reports`` needs of a router."""
+    clock = Clock(store_time)
+    return SimpleNamespace(
+        clock=clock,
+        settings=SimpleNamespace(instance=name),
+        fleet_view=FleetView(clock),
+    )
+
+
+def store_time() -> int:
+    """Return the time in ms, which the scenarios don't depend on."""
+    return 1_000
+
+
+async def wait_for_entry(store: FakeStore, limit_s: float = 5.0):
+    """Return the entry in the store once there is one, None after the limit."""
+    try:
+        async with asyncio.timeout(limit_s):
+            while store.entry is None:
+                await asyncio.sleep(to_seconds(POLL_MS))
+    except TimeoutError:
+        return None
+    return store.entry
+
+
+@given("a router that has written a report of a request lost in a crash")
+def make_store(context):
+    context.store = FakeStore()
+    context.router = make_router("router-1", context.store)
+
+
+@when("the report is removed and its lease has ended")
+def end_lease(context):
+    store, router = context.store, context.router
+
+    async def run():
+        publishing = asyncio.create_task(crash_reports.publish_reports(store, router))
+        record_own_loss(router.fleet_view.crash_log, LOST, router.clock.now_ms())
+        assert await wait_for_entry(store) is not None
+        store.ended, store.entry = set(store.leases), None
+        context.entry = await wait_for_entry(store)
+        publishing.cancel()
+
+    interval = {"REFRESH_INTERVAL_MS": REFRESH_MS}
+    with patch.multiple(crash_reports, create=True, **interval):
+        asyncio.run(run())
+
+
+@then("the report is written again under another lease within 5 s")
+def check_entry(context):
+    assert context.entry is not None, "not written again"
+    assert context.entry.lost == (LOST,), context.entry
+    assert len(context.store.leases) == 2, context.store.leases
