Probe a quarantined key with one request at a time, ever less often

Seen: with a prompt part that crashes endpoints for longer than five minutes, two more endpoints crash each time that the quarantine ends, and requests with the part reach endpoints at each router.

Cause: the evidence of a quarantine was forgotten five minutes after its last report. As no such request is sent meanwhile, every part came back as unknown, at all routers at the same time.

The key is held for one minute, and then one router at a time, in turns drawn from the key and the routers in service, sends one request with it. A lost probe starts a hold of 10 minutes, the next ones of 12 hours: at most three in 24 hours. A good answer clears the key everywhere, as before. For the first two minutes only teams that lost no request with the key may probe it, so a team that sends another's sound part with a deadly one before it does not get it held for long. No probe is sent while the store is away.

Retry-After is the rest of the hold, and then the time to the next turn.

--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pulley_base import Clock, PulleyError, log_event, to_seconds, wall_time_ms
-from pulley_policy.crashes import remove_expired
+from pulley_policy.crashes import LostRequest, remove_expired
 
 from .crash_log import CLEARANCE_MS, CrashLog
 from .models import CrashReports
@@ -76,13 +76,22 @@
         granted = await store.grant_lease(LEASE_TTL_MS)
         lease = ReportLease(granted.lease, now_ms + granted.ttl_ms - MIN_LEASE_LEFT_MS)
     crash_log.pending = False
-    reports = CrashReports(
-        name, tuple(crash_log.own_lost), tuple(crash_log.own_cleared)
-    )
+    lost = list_aged(crash_log, now_ms)
+    reports = CrashReports(name, lost, tuple(crash_log.own_cleared))
     await store.report_crashes(reports, lease.id)
     return lease
 
 
+def list_aged(crash_log: CrashLog, now_ms: int) -> tuple[LostRequest, ...]:
+    """Return this router's reports with their ages, as routers share no clock."""
+    reports = crash_log.evidence.reports
+    return tuple(
+        replace(lost, age_ms=now_ms - reports[lost.id].lost_ms)
+        for lost in crash_log.own_lost
+        if lost.id in reports
+    )
+
+
 def drop_expired(crash_log: CrashLog, now_ms: int) -> None:
     """Drop this router's reports and clearances whose time is over."""
     evidence = crash_log.evidence
--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -1,18 +1,26 @@
 """Requests that crash endpoints: recorded when they are lost, refused from then on."""
 
 import asyncio
+import logging
+from dataclasses import replace
 from hashlib import blake2b
 
-from pulley_base import PulleyError, Reason, to_seconds
+from pulley_base import PulleyError, Reason, log_event, to_seconds
 from pulley_http.connections import ClientConnection, open_connection
 from pulley_policy.crashes import (
     Scores,
     blame,
     find_quarantined,
-    quarantine_left_ms,
     record_good,
     score_request,
 )
+from pulley_policy.probation import (
+    Sender,
+    find_place,
+    find_refused,
+    quarantine_left_ms,
+    start_probes,
+)
 
 from .crash_log import record_own_clearance, record_own_loss
 from .jobs import AttemptFailed, Job
@@ -20,9 +28,12 @@
 from .routers import Router
 from .waits import read_within
 
-# Longer digests and longer prompts are truncated.
+logger = logging.getLogger(__name__)
+
+# Longer digests, longer prompts and longer names are truncated.
 MAX_DIGEST_LENGTH = 64
 MAX_KEY_PARTS = 32
+MAX_TEAM_LENGTH = 200
 REQUEST_DIGEST_BYTES = 12
 # A caller is not kept away for longer, as a probe or a repair may end a quarantine.
 MAX_RETRY_AFTER_MS = 60_000
@@ -40,9 +51,14 @@
     return [f"{job.service}/part/{one.digest[:MAX_DIGEST_LENGTH]}" for one in shared]
 
 
+def team_name(job: Job) -> str:
+    """Return the name of the team that sent a job's request, empty without one."""
+    return "" if job.team is None else job.team.name[:MAX_TEAM_LENGTH]
+
+
 def request_key(job: Job) -> str:
     """Return the key of a whole request, the same each time that it is repeated."""
-    team = "" if job.team is None else job.team.name
+    team = team_name(job)
     parts = ",".join(part.digest for part in job.call.parts)
     digest = blake2b(digest_size=REQUEST_DIGEST_BYTES)
     for text in (team, job.call.method, job.call.host, job.call.target, parts):
@@ -57,16 +73,43 @@
     Keeps the scores of the request's keys as of now, for the attempt that follows.
     """
     evidence = router.fleet_view.crash_log.evidence
+    now_ms = router.clock.now_ms()
     keys = part_keys(job)
+    quarantined = []
     if evidence.depths:
         keys.append(request_key(job))
-        quarantined = find_quarantined(evidence, keys, router.clock.now_ms())
-        if quarantined is not None:
-            return quarantined
-    job.scores = score_request(evidence, keys)
+        quarantined = find_quarantined(evidence, keys, now_ms)
+    if quarantined:
+        refused = find_refused_key(router, job, quarantined, now_ms)
+        if refused is not None:
+            return refused
+    probes = start_probes(evidence, quarantined, now_ms)
+    for key, number in probes:
+        log_event(logger, "key_probed", key=key, number=number)
+    scores = score_request(evidence, keys)
+    job.scores = replace(scores, team=team_name(job), probes=probes)
     return None
 
 
+def find_refused_key(
+    router: Router, job: Job, quarantined: list[str], now_ms: int
+) -> str | None:
+    """Return a quarantined key that a job's request may not probe, if there is one.
+
+    No probe is sent while the store is away, as other routers would not learn of it.
+    """
+    fleet_view = router.fleet_view
+    if fleet_view.failing_since_ms is not None:
+        return quarantined[0]
+    probes = () if job.scores is None else job.scores.probes
+    sender = Sender(
+        find_place(router.settings.instance, fleet_view.routers),
+        team_name(job),
+        frozenset(key for key, _ in probes),
+    )
+    return find_refused(fleet_view.crash_log.evidence, quarantined, sender, now_ms)
+
+
 def retry_after_quarantine_ms(router: Router, key: str) -> int:
     """Return when a quarantined request may be sent again at the earliest, in ms."""
     evidence = router.fleet_view.crash_log.evidence
@@ -135,7 +178,12 @@
     key = request_key(job)
     if key in scores.keys:
         return scores
-    return Scores((*scores.keys, key), (*scores.scores, 0), (*scores.crashes, ()))
+    return replace(
+        scores,
+        keys=(*scores.keys, key),
+        scores=(*scores.scores, 0),
+        crashes=(*scores.crashes, ()),
+    )
 
 
 def crash_id(endpoint: Endpoint) -> str:
--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -6,10 +6,13 @@
 were in flight at the same time, such as at a total outage, have the same depth. A
 good answer clears the keys of its request of the crashes known when it was sent. A
 sound key that others share is therefore cleared all the time, a deadly one never.
+
+A report that quarantines a key is kept for two days; ``probation`` decides when a
+request with such a key is sent, to see if the key still crashes endpoints.
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import islice
 
 # Crashes in succession after which a key is quarantined; one may be chance.
@@ -18,21 +21,29 @@
 # every endpoint, and many requests share it.
 SOUND_QUARANTINE_SCORE = 6
 SOUND_MS = 60_000
-HOLD_MS = 300_000
+# How long a report is kept that quarantines nothing, and one that does.
+REPORT_MS = 300_000
+QUARANTINE_REPORT_MS = 172_800_000
 MAX_REPORTS = 256
 MAX_EXPIRED_REPORTS = 1_024
-MAX_SPARED_REPORTS = 32
+MAX_SPARED_REPORTS = 128
 MAX_SOUND_KEYS = 1_024
 MAX_CLEARED_KEYS = 256
 MAX_CLEARED_CRASHES = 256
+MAX_PROBED_KEYS = 256
 
 
 @dataclass(frozen=True, slots=True)
 class Suspect:
-    """A key of a lost request, and the key's depth in succession of crashes."""
+    """A key of a lost request, and the key's depth in succession of crashes.
+
+    ``n_probes`` is set if the request was a probe of the key: the number of probes of
+    it that were lost up to this one.
+    """
 
     key: str
     depth: int
+    n_probes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +51,14 @@
     """A request that was lost in a crash; ``crash`` names the endpoint's incarnation.
 
     ``suspects`` are its prompt's shared parts, the widest first, and last, in any case,
-    the key of the request itself.
+    the key of the request itself. ``team`` sent it. ``age_ms`` is how long its reporter
+    had known it when it was shared.
     """
 
     crash: str
     suspects: tuple[Suspect, ...]
+    team: str = ""
+    age_ms: int = 0
 
     @property
     def id(self) -> tuple[str, str]:
@@ -69,20 +83,24 @@
 class Scores:
     """The keys of one request and their scores when it was sent.
 
-    ``crashes`` are, for each key, those that a good answer clears it of.
+    ``crashes`` are, for each key, those that a good answer clears it of. ``probes``
+    has the keys that the request probes, with the number of each one's probe.
     """
 
     keys: tuple[str, ...] = ()
     scores: tuple[int, ...] = ()
     crashes: tuple[tuple[str, ...], ...] = ()
+    team: str = ""
+    probes: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Held:
-    """A report, and the clock reading in ms until which it holds."""
+    """A report, and the clock readings in ms of the loss and of its next review."""
 
     lost: LostRequest
-    until_ms: int
+    lost_ms: int
+    review_ms: int
 
 
 @dataclass(slots=True)
@@ -92,8 +110,8 @@
     ``reports`` holds them by id, ``expired`` the ids of those whose time is over, as
     they may be read again. ``depths`` has, for each key, its depth at each crash
     that it is not cleared of; ``cleared`` the crashes that it is cleared of;
-    ``sound_ms`` the clock reading of its last good answer. The oldest entries of each
-    come first.
+    ``sound_ms`` the clock reading of its last good answer; ``probed_ms`` that at
+    which this router last sent a probe of it. The oldest entries of each come first.
     """
 
     reports: dict[tuple[str, str], Held] = field(default_factory=dict)
@@ -101,6 +119,7 @@
     depths: dict[str, dict[str, int]] = field(default_factory=dict)
     cleared: dict[str, dict[str, None]] = field(default_factory=dict)
     sound_ms: dict[str, int] = field(default_factory=dict)
+    probed_ms: dict[str, int] = field(default_factory=dict)
 
 
 def score_key(evidence: Evidence, key: str) -> int:
@@ -133,10 +152,14 @@
     """Return the report of a request that was lost in a crash.
 
     >>> blame("one", Scores(("wide", "narrow"), (2, 0))).suspects[1]
-    Suspect(key='narrow', depth=1)
+    Suspect(key='narrow', depth=1, n_probes=0)
     """
-    pairs = zip(scores.keys, scores.scores, strict=True)
-    return LostRequest(crash, tuple(Suspect(key, score + 1) for key, score in pairs))
+    probes = dict(scores.probes)
+    suspects = tuple(
+        Suspect(key, score + 1, probes.get(key, 0))
+        for key, score in zip(scores.keys, scores.scores, strict=True)
+    )
+    return LostRequest(crash, suspects, scores.team)
 
 
 def add_report(evidence: Evidence, lost: LostRequest, now_ms: int) -> bool:
@@ -146,7 +169,7 @@
         return False
     if len(evidence.reports) >= MAX_REPORTS:
         remove_report(evidence, find_replaceable(evidence))
-    evidence.reports[lost.id] = Held(lost, now_ms + HOLD_MS)
+    evidence.reports[lost.id] = Held(lost, now_ms - lost.age_ms, now_ms + REPORT_MS)
     for suspect in lost.suspects:
         if lost.crash not in evidence.cleared.get(suspect.key, ()):
             depths = evidence.depths.setdefault(suspect.key, {})
@@ -155,16 +178,30 @@
 
 
 def remove_expired(evidence: Evidence, now_ms: int) -> None:
-    """Remove the reports whose time is over."""
+    """Remove the reports whose time is over; those that quarantine a key stay."""
     while evidence.reports:
-        oldest = next(iter(evidence.reports.values()))
-        if oldest.until_ms > now_ms:
+        report_id, held = next(iter(evidence.reports.items()))
+        if held.review_ms > now_ms:
             return
-        remove_report(evidence, oldest.lost.id)
-        evidence.expired[oldest.lost.id] = None
+        if holds_quarantine(evidence, held, now_ms):
+            del evidence.reports[report_id]
+            evidence.reports[report_id] = replace(held, review_ms=now_ms + REPORT_MS)
+            continue
+        remove_report(evidence, report_id)
+        evidence.expired[report_id] = None
         drop_first(evidence.expired, MAX_EXPIRED_REPORTS)
 
 
+def holds_quarantine(evidence: Evidence, held: Held, now_ms: int) -> bool:
+    """Check whether a report quarantines one of its keys, and is recent enough to."""
+    if now_ms - held.lost_ms >= QUARANTINE_REPORT_MS:
+        return False
+    return any(
+        is_quarantined(evidence, suspect.key, now_ms)
+        for suspect in reversed(held.lost.suspects)
+    )
+
+
 def find_replaceable(evidence: Evidence) -> tuple[str, str]:
     """Return the id of the oldest report that quarantines nothing.
 
@@ -242,17 +279,16 @@
     return score_key(evidence, key) >= quarantine_score(evidence, key, now_ms)
 
 
-def find_quarantined(
-    evidence: Evidence, keys: Iterable[str], now_ms: int
-) -> str | None:
-    """Return the first of a request's keys that is in quarantine, None without one."""
+def find_quarantined(evidence: Evidence, keys: Iterable[str], now_ms: int) -> list[str]:
+    """Return those of a request's keys that are in quarantine."""
     if not evidence.depths:
-        return None
+        return []
     remove_expired(evidence, now_ms)
-    for key in keys:
-        if key in evidence.depths and is_quarantined(evidence, key, now_ms):
-            return key
-    return None
+    return [
+        key
+        for key in keys
+        if key in evidence.depths and is_quarantined(evidence, key, now_ms)
+    ]
 
 
 def is_quarantined(evidence: Evidence, key: str, now_ms: int) -> bool:
@@ -264,11 +300,7 @@
     """
     if not is_incriminated(evidence, key, now_ms):
         return False
-    reports = [
-        held.lost
-        for held in evidence.reports.values()
-        if held.lost.crash in evidence.depths[key] and has_key(held.lost, key)
-    ]
+    reports = [held.lost for held in find_reports(evidence, key)]
     requests = {lost.request for lost in reports}
     if key in requests:
         return True
@@ -277,6 +309,16 @@
     )
 
 
+def find_reports(evidence: Evidence, key: str) -> list[Held]:
+    """Return the reports that a key is not cleared of."""
+    crashes = evidence.depths.get(key, {})
+    return [
+        held
+        for held in evidence.reports.values()
+        if held.lost.crash in crashes and has_key(held.lost, key)
+    ]
+
+
 def has_key(lost: LostRequest, key: str) -> bool:
     """Check whether a lost request has a key."""
     return any(suspect.key == key for suspect in lost.suspects)
@@ -294,11 +336,3 @@
     """Return the keys in quarantine, for the status page."""
     remove_expired(evidence, now_ms)
     return [key for key in evidence.depths if is_quarantined(evidence, key, now_ms)]
-
-
-def quarantine_left_ms(evidence: Evidence, key: str, now_ms: int) -> int:
-    """Return for how long the last report about a key still holds, in ms."""
-    untils = [
-        held.until_ms for held in evidence.reports.values() if has_key(held.lost, key)
-    ]
-    return max(0, max(untils, default=now_ms) - now_ms)
--- a/tests/direct/crashing_part.feature
+++ b/tests/direct/crashing_part.feature
@@ -26,6 +26,20 @@
     Then each router sent at most 6 of them to endpoints
     And the routers share their reports within 2 s of the store's return
 
+  # Guards against a part that is refused for long though endpoints are repaired.
+  Scenario: Endpoints are repaired
+    Given a first hold of 1 s, and turns of 0.4 s to probe
+    When prompts with a crashing part come for 1 s, and 5 s more to repaired endpoints
+    Then at most 5 of them crashed an endpoint
+    And every router answers prompts with the part in the last second
+
+  # Guards against probes by every router once a hold is over.
+  Scenario: Endpoints are not repaired
+    Given a first hold of 1 s, and turns of 0.4 s to probe
+    When prompts with a crashing part come for 7 s, and 0 s more to repaired endpoints
+    Then at most 6 of them crashed an endpoint
+    And the last one is refused as not run and quarantined
+
   # Guards against a broken answer of an endpoint that is up counted as a crash.
   Scenario: Endpoints that are up break off answers after the head
     When endpoints break off 12 prompts with one part before the first event
