Keep the reports of a quarantine in the store after their router ended

A router that starts later sends what all others refuse, and two more endpoints crash.

Cause: only the router that made a report wrote it again.

Evidence: tests/direct/crash_reports.feature, a router that has only read the reports. On the code before: "ASSERT FAILED: no entry was written".

Fix: for each quarantined key three routers, drawn from the key and the routers in service, write the reports that it takes with their own, at most two of a crash and eight of a key. Reports are written without the parts that were cleared meanwhile, and again when a quarantine ends, so that a router that starts does not blame a key that others have cleared.

Result: a router that starts on such an entry refuses the part for the same hold, and refuses nothing once the part is cleared.

--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -38,13 +38,15 @@
 
     ``own_lost`` and ``own_cleared``, with the clock reading in ms of each clearance,
     are to be written to the store when ``changed`` is notified, ``pending`` until
-    they are written. ``quarantined`` holds the keys whose quarantine was logged.
+    they are written. ``sharing`` is set while its entry in the store has reports.
+    ``quarantined`` holds the keys whose quarantine was logged.
     """
 
     evidence: Evidence = field(default_factory=Evidence)
     own_lost: list[LostRequest] = field(default_factory=list)
     own_cleared: dict[Clearance, int] = field(default_factory=dict)
     pending: bool = False
+    sharing: bool = False
     changed: Signal = field(default_factory=Signal)
     quarantined: set[str] = field(default_factory=set)
 
@@ -111,7 +113,10 @@
 
 
 def log_quarantines(crash_log: CrashLog, now_ms: int) -> None:
-    """Log the keys that came under quarantine, and those that left it."""
+    """Log the keys that came under quarantine, and those that left it.
+
+    Reports that were shared may tell of a key that left it, so they are written again.
+    """
     evidence = crash_log.evidence
     quarantined = {
         key for key in evidence.depths if is_quarantined(evidence, key, now_ms)
@@ -120,6 +125,8 @@
         warn_event(logger, "key_quarantined", key=key, score=score_key(evidence, key))
     for key in sorted(crash_log.quarantined - quarantined):
         log_event(logger, "key_released", key=key)
+    if crash_log.sharing and crash_log.quarantined - quarantined:
+        share(crash_log)
     crash_log.quarantined = quarantined
 
 
--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -1,13 +1,16 @@
-"""The router's own crash reports in the store, written again while they hold."""
+"""The crash reports that a router shares in the store, again while they hold."""
 
 import asyncio
 import logging
 from dataclasses import dataclass, replace
+from itertools import islice
 
 from pulley_base import Clock, PulleyError, log_event, to_seconds, wall_time_ms
-from pulley_policy.crashes import LostRequest, remove_expired
+from pulley_policy.crashes import Evidence, LostRequest, remove_expired
+from pulley_policy.keepers import list_kept
+from pulley_policy.probation import find_place
 
-from .crash_log import CLEARANCE_MS, CrashLog
+from .crash_log import CLEARANCE_MS, MAX_OWN_REPORTS, CrashLog
 from .models import CrashReports
 from .routers import Router
 from .signals import wait_until
@@ -50,7 +53,7 @@
             crash_log.changed, lambda: crash_log.pending, REFRESH_INTERVAL_MS
         )
         drop_expired(crash_log, router.clock.now_ms())
-        if not (crash_log.pending or crash_log.own_lost or crash_log.own_cleared):
+        if not (crash_log.pending or crash_log.own_cleared or list_shared(router)):
             continue
         try:
             lease = await write_reports(store, router, crash_log, name, lease)
@@ -76,22 +79,35 @@
         granted = await store.grant_lease(LEASE_TTL_MS)
         lease = ReportLease(granted.lease, now_ms + granted.ttl_ms - MIN_LEASE_LEFT_MS)
     crash_log.pending = False
-    lost = list_aged(crash_log, now_ms)
-    reports = CrashReports(name, lost, tuple(crash_log.own_cleared))
+    reports = CrashReports(name, list_shared(router), tuple(crash_log.own_cleared))
+    crash_log.sharing = bool(reports.lost)
     await store.report_crashes(reports, lease.id)
     return lease
 
 
-def list_aged(crash_log: CrashLog, now_ms: int) -> tuple[LostRequest, ...]:
-    """Return this router's reports with their ages, as routers share no clock."""
-    reports = crash_log.evidence.reports
+def list_shared(router: Router) -> tuple[LostRequest, ...]:
+    """Return the reports that this router shares: those it keeps, and its own."""
+    crash_log = router.fleet_view.crash_log
+    evidence = crash_log.evidence
+    now_ms = router.clock.now_ms()
+    place = find_place(router.settings.instance, router.fleet_view.routers)
+    kept = list_kept(evidence, place, now_ms)
+    own = [lost for lost in crash_log.own_lost if lost.id in evidence.reports]
+    newest = {lost.id: lost for lost in (*kept, *reversed(own))}
     return tuple(
-        replace(lost, age_ms=now_ms - reports[lost.id].lost_ms)
-        for lost in crash_log.own_lost
-        if lost.id in reports
+        describe_report(evidence, lost, now_ms)
+        for lost in islice(newest.values(), MAX_OWN_REPORTS)
     )
 
 
+def describe_report(evidence: Evidence, lost: LostRequest, now_ms: int) -> LostRequest:
+    """Return a report with its age, as routers share no clock, and uncleared parts."""
+    *parts, request = lost.suspects
+    parts = [one for one in parts if lost.crash in evidence.depths.get(one.key, ())]
+    age_ms = now_ms - evidence.reports[lost.id].lost_ms
+    return replace(lost, suspects=(*parts, request), age_ms=age_ms)
+
+
 def drop_expired(crash_log: CrashLog, now_ms: int) -> None:
     """Drop this router's reports and clearances whose time is over."""
     evidence = crash_log.evidence
--- a/tests/direct/crash_reports.feature
+++ b/tests/direct/crash_reports.feature
@@ -9,3 +9,16 @@
     Given a router that has written a report of a request lost in a crash
     When the report is removed and its lease has ended
     Then the report is written again under another lease within 5 s
+
+  # Guards against a router that starts after the one that made the reports has ended,
+  # and sends what the others refuse.
+  Scenario: The router that made the reports has ended
+    Given a router that has read reports that quarantine a part
+    When its publishing goes on for a while
+    Then a router that starts on its entry refuses the part with the same hold
+
+  # Guards against a part that a router which starts refuses, though it was cleared.
+  Scenario: The part is cleared
+    Given a router that has read reports that quarantine a part
+    When its publishing goes on for a while, and then the part is cleared
+    Then a router that starts on its entry refuses nothing
--- a/tests/direct/steps/crash_reports.py
+++ b/tests/direct/steps/crash_reports.py
@@ -9,13 +9,22 @@
 from pulley_base import Clock, to_seconds
 from pulley_direct import crash_reports
 from pulley_direct.beliefs import FleetView
-from pulley_direct.crash_log import record_own_loss
+from pulley_direct.crash_log import CrashLog, apply_reports, record_own_loss
+from pulley_direct.models import CrashReports
 from pulley_direct.store_calls import LeaseGranted, StoreCallRefused
-from pulley_policy.crashes import LostRequest, Suspect
+from pulley_policy.crashes import (
+    Clearance,
+    LostRequest,
+    Suspect,
+    list_quarantined,
+)
+from pulley_policy.probation import quarantine_left_ms
 
 REFRESH_MS = 20
 POLL_MS = 5
 PART = "model/part/dead"
+START_MS = 10_000
+AGE_MS = 30_000
 LOST = LostRequest("one", (Suspect(PART, 1), Suspect("request-1", 1)))
 
 
@@ -93,3 +102,63 @@
     assert context.entry is not None, "not written again"
     assert context.entry.lost == (LOST,), context.entry
     assert len(context.store.leases) == 2, context.store.leases
+
+
+@given("a router that has read reports that quarantine a part")
+def make_keeper(context):
+    make_store(context)
+    crash_log = context.router.fleet_view.crash_log
+    second = Suspect(PART, 2), Suspect("request-2", 1)
+    lost = LOST, LostRequest("two", second, age_ms=AGE_MS)
+    apply_reports(crash_log, CrashReports("router-2", lost, ()), store_time())
+
+
+@when("its publishing goes on for a while")
+def publish(context):
+    publish_until(context, lambda: None)
+
+
+@when("its publishing goes on for a while, and then the part is cleared")
+def publish_and_clear(context):
+    cleared = CrashReports("router-3", (), (Clearance(PART, ("one", "two")),))
+    crash_log = context.router.fleet_view.crash_log
+    publish_until(context, lambda: apply_reports(crash_log, cleared, store_time()))
+
+
+def publish_until(context, change) -> None:
+    """Publish reports, make a change and keep the entry that follows it."""
+    store, router = context.store, context.router
+
+    async def run():
+        publishing = asyncio.create_task(crash_reports.publish_reports(store, router))
+        await wait_for_entry(store)
+        change()
+        store.entry = None
+        context.entry = await wait_for_entry(store)
+        publishing.cancel()
+
+    interval = {"REFRESH_INTERVAL_MS": REFRESH_MS}
+    with patch.multiple(crash_reports, create=True, **interval):
+        asyncio.run(run())
+
+
+@then("a router that starts on its entry refuses the part with the same hold")
+def check_started(context):
+    evidence = start_on_entry(context).evidence
+    assert list_quarantined(evidence, START_MS) == [PART]
+    kept = context.router.fleet_view.crash_log.evidence
+    expected = quarantine_left_ms(kept, PART, store_time())
+    assert quarantine_left_ms(evidence, PART, START_MS) == expected > 0
+
+
+@then("a router that starts on its entry refuses nothing")
+def check_free(context):
+    assert list_quarantined(start_on_entry(context).evidence, START_MS) == []
+
+
+def start_on_entry(context) -> CrashLog:
+    """Return the crash log of a router that starts and reads the entry."""
+    assert context.entry is not None, "no entry was written"
+    crash_log = CrashLog()
+    apply_reports(crash_log, context.entry, START_MS)
+    return crash_log
