Test that one team's deadly prompts do not keep another's part refused

A team sends prompts with another team's sound part that crash endpoints each 300 ms, for 300 s, and the other team sends sound ones each 500 ms from 30 s on.

--- a/tests/policy/crashes_for_long.feature
+++ b/tests/policy/crashes_for_long.feature
@@ -60,4 +60,5 @@
 
     Examples:
       | prompts                              |
+      | prompts with that part               |
       | prompts with a deadly part behind it |
