Give the hosts that crash in tests a module of their own

The steps for a crashing prompt part held the hosts, their restarts and the routers in front of them. Steps for other requests that crash endpoints need the same. Nothing that a scenario checks has changed; what an endpoint answers is now given to the scene.

--- a/tests/direct/steps/crashing_part.py
+++ b/tests/direct/steps/crashing_part.py
@@ -2,52 +2,41 @@
 
 import asyncio
 from collections import Counter
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
-from functools import partial
+from dataclasses import dataclass, field
 
 from behave import given, then, when
+from crashing_hosts import (
+    N_ROUTERS,
+    Host,
+    HostScene,
+    add_router,
+    crash_host,
+    start_scene,
+    wait_for,
+)
 from pulley_platform_standins.endpoints import (
     Behavior,
-    StandInEndpoint,
     answer_headers,
     answer_request,
     header_text,
-    list_endpoint,
-    unlist_endpoint,
 )
 from pulley_platform_standins.stores import StoreFault
-from scenes import (
-    CHAT,
-    Answer,
-    RouterFixture,
-    call,
-    send_call,
-    start_fixture,
-    wait_until_synced,
-)
+from scenes import CHAT, Answer, RouterFixture, call, send_call, start_fixture
 
-from pulley_adapter.headers import HEADER_CODEC, format_retry_after
-from pulley_adapter.stores import connect_store
 from pulley_base import Reason
 from pulley_direct.admin import describe_router, read_gauges
-from pulley_direct.app import RunningRouter, close_router, start_router
 from pulley_direct.crashes import is_crash_loss
 from pulley_direct.jobs import AttemptFailed, Job
 from pulley_direct.models import Call, Endpoint, PromptPart, RetryClass, Route
-from pulley_http import Client, Response, close_client, start_server
+from pulley_http import Response
 from pulley_policy.crashes import Scores
 
-N_ROUTERS = 3
-N_ENDPOINTS = 6
-RESTART_S = 0.3
 SOUND_INTERVAL_S = 0.03
 CRASHING_INTERVAL_S = 0.09
 MARGIN_S = 1.0
 REFUSED_AT_ONCE_MS = 100
 SOUND_PARTS = "f1:100,5b:50"
 CRASHING_PARTS = SOUND_PARTS + ",dead:20"
-LIMIT_S = 30
 N_HANG_UPS = 12
 HANG_UP_S = 0.03
 
@@ -70,30 +59,9 @@
 
 
 @dataclass(slots=True)
-class Host:
-    """A host whose endpoint starts again after each crash."""
-
-    number: int
-    port: int = 0
-    endpoint: StandInEndpoint | None = None
-    n_starts: int = 0
-    down: bool = False
-
-
-@dataclass(slots=True)
-class Scene:
-    """The routers and hosts of one scenario, its prompts, and the times of crashes.
-
-    With ``keeps_names`` endpoints start again under the names that they had.
-    """
+class Scene(HostScene):
+    """The routers and hosts of one scenario, and its prompts."""
 
-    fixture: RouterFixture
-    routers: list[RunningRouter]
-    keeps_names: bool = False
-    hosts: list[Host] = field(default_factory=list)
-    clients: list[Client] = field(default_factory=list)
-    tasks: list[asyncio.Task] = field(default_factory=list)
-    crashes_s: list[float] = field(default_factory=list)
     prompts: dict[str, Prompt] = field(default_factory=dict)
 
     def prompts_after_fifth_crash(self, crashing: bool) -> list[Prompt]:
@@ -106,68 +74,6 @@
         ]
 
 
-@asynccontextmanager
-async def start_scene():
-    """Start a store, hosts whose endpoints may crash, and routers."""
-    async with asyncio.timeout(LIMIT_S), start_fixture(0) as fixture:
-        scene = Scene(fixture, [fixture.running])
-        try:
-            for number in range(N_ENDPOINTS):
-                scene.hosts.append(Host(number))
-                await start_host(scene, scene.hosts[-1])
-            await wait_until_synced(fixture)
-            for _ in range(N_ROUTERS - 1):
-                await add_router(scene)
-            yield scene
-        finally:
-            close_scene(scene)
-
-
-def close_scene(scene: Scene) -> None:
-    """Cancel the tasks and close what ``start_scene`` opened itself."""
-    for task in scene.tasks:
-        task.cancel()
-    for running in scene.routers[1:]:
-        close_router(running)
-    for client in scene.clients:
-        close_client(client)
-    for host in scene.hosts:
-        host.endpoint.server.listener.close()
-        abort_connections(host.endpoint)
-
-
-async def start_host(scene: Scene, host: Host) -> None:
-    """Start a host's next endpoint, with a new name unless told, and list it."""
-    host.n_starts += 1
-    n_names = 1 if scene.keeps_names else host.n_starts
-    endpoint = StandInEndpoint(f"model-{host.number}-{n_names}", "model", slots=50)
-    handler = partial(answer_or_crash, scene, host)
-    endpoint.server = await start_server(handler, "127.0.0.1", host.port)
-    host.port = int(endpoint.address.rpartition(":")[2])
-    host.endpoint, host.down = endpoint, False
-    list_endpoint(scene.fixture.store, endpoint)
-
-
-async def add_router(scene: Scene) -> RunningRouter:
-    """Start one more router on the scene's store, and wait until it knows the fleet."""
-    first = scene.fixture.router.settings
-    settings = replace(first, instance=f"router-{len(scene.routers) + 1}")
-    client = Client()
-    scene.clients.append(client)
-    calls = connect_store(first.store_address, client)
-    running = await start_router(settings, HEADER_CODEC, calls, format_retry_after)
-    scene.routers.append(running)
-    await wait_for(lambda: len(running.router.fleet_view.endpoints) >= N_ENDPOINTS)
-    return running
-
-
-async def wait_for(condition, limit_s: float = 5.0) -> None:
-    """Wait until a condition holds."""
-    async with asyncio.timeout(limit_s):
-        while not condition():
-            await asyncio.sleep(0.02)
-
-
 async def answer_or_crash(scene: Scene, host: Host, request) -> Response:
     """Answer a request, or crash after the head if its prompt has the part."""
     prompt = scene.prompts[header_text(request, b"attempt-id")]
@@ -180,31 +86,12 @@
 
 
 async def crash(scene: Scene, host: Host):
-    """End every connection of a host's endpoint, and start the next one later."""
-    loop = asyncio.get_running_loop()
-    if not host.down:
-        host.down = True
-        scene.crashes_s.append(loop.time())
-        host.endpoint.server.listener.close()
-        loop.call_soon(abort_connections, host.endpoint)
-        scene.tasks.append(asyncio.create_task(restart_host(scene, host)))
+    """Crash a host's endpoint in the body of an answer."""
+    crash_host(scene, host)
     raise ConnectionError("crashed")
     yield b""
 
 
-def abort_connections(endpoint: StandInEndpoint) -> None:
-    """Abort every connection of an endpoint."""
-    for connection in list(endpoint.server.connections):
-        connection.abort()
-
-
-async def restart_host(scene: Scene, host: Host) -> None:
-    """Start a host's next endpoint at the same address, after a while."""
-    await asyncio.sleep(RESTART_S)
-    unlist_endpoint(scene.fixture.store, host.endpoint)
-    await start_host(scene, host)
-
-
 async def send_prompt(scene: Scene, router: int, parts: str) -> Prompt:
     """Send one prompt to a router and read its answer."""
     loop = asyncio.get_running_loop()
@@ -241,7 +128,8 @@
     store_away = getattr(context, "store_away", False)
 
     async def run():
-        async with start_scene() as scene:
+        scene = Scene(answer_or_crash)
+        async with start_scene(scene):
             if store_away:
                 scene.keeps_names = True
                 scene.fixture.store.fault = StoreFault.NO_ANSWER
@@ -266,7 +154,8 @@
 @when("one prompt with a crashing part comes, and another one a second later")
 def send_singly(context):
     async def run():
-        async with start_scene() as scene:
+        scene = Scene(answer_or_crash)
+        async with start_scene(scene):
             for number in range(N_ROUTERS):
                 parts = f"{CRASHING_PARTS},{number:x}a:10"
                 await send_prompt(scene, number, parts)
