Hold a whole request against the crashes that it was lost in

What callers saw: a lookup, an order or a prompt that crashes each endpoint before any byte of its answer was sent to endpoints for as long as it came, twice a time where its route allows a retry. Endpoint after endpoint went down.

Cause: only a prompt that was lost between the head of its answer and the first event left a report. Any other request was forgotten as soon as it was lost.

Evidence: tests/direct/crashing_request.feature, three routers, six endpoints that are back after 0.3 s. On the code before, arrivals later than 1 s after the third crash, three allowed: a lookup every 1.2 s 6, every 0.3 s 22, an order every 0.3 s 10, a prompt every 1.2 s 6, a lookup in bursts of three 18. An order every 1.2 s crashed six endpoints, three allowed.

Change: a request that may have run, whose connection ended and whose endpoint refuses connections leaves a bare report, with the key of the whole request alone. It is reported only if the request ends without a good answer: most of what an endpoint holds as it crashes is sound, and its retry shows it. That retry does not wait for the probe, unless another loss of the request is known. One probe of an endpoint runs at a time, for all that was lost there. A link that is cut, or an endpoint that is up and resets connections, reports nothing.

A request with bare reports is quarantined after three crashes in succession, or at two in succession if it was lost in four or more. So a sound request that meets two crashes is not refused, and one that comes in bursts is stopped with its second burst. A whole good answer to any request that is no stream clears its key.

Bounds: 256 bare reports beside the 256 others, 16 of a router's own beside its 32; the oldest and shallowest give way, and none of the others.

A prompt with one part alone, which has no shared part, is now refused after three such crashes instead of two.

--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -10,6 +10,7 @@
     LostRequest,
     add_clearance,
     add_report,
+    drop_first,
     is_quarantined,
     score_key,
 )
@@ -21,8 +22,10 @@
 
 # The newest of a router's own reports and clearances are shared, in one entry.
 MAX_OWN_REPORTS = 32
+MAX_OWN_BARE_REPORTS = 16
 MAX_OWN_CLEARANCES = 32
 MAX_SHARED_CRASHES = 32
+MAX_SOUND_REQUESTS = 2_048
 # One more crash would quarantine a key with this score, so other routers are told of
 # its clearance.
 SHARED_CLEARANCE_SCORE = 1
@@ -33,28 +36,57 @@
 class CrashLog:
     """The evidence of crashes, and this router's own part of it.
 
-    ``own_lost`` and ``own_cleared`` are to be written to the store when ``changed``
-    is notified, ``pending`` until they are written. ``quarantined`` holds the keys
-    whose quarantine was logged.
+    ``own_lost``, ``own_bare`` (the bare reports) and ``own_cleared`` are to be written
+    to the store when ``changed`` is notified, ``pending`` until they are written.
+    ``quarantined`` holds the keys whose quarantine was logged. ``sound_requests`` has
+    the clock reading in ms of the last good answer to a request, by its hash, the
+    oldest first.
     """
 
     evidence: Evidence = field(default_factory=Evidence)
     own_lost: list[LostRequest] = field(default_factory=list)
+    own_bare: list[LostRequest] = field(default_factory=list)
     own_cleared: list[Clearance] = field(default_factory=list)
     pending: bool = False
     changed: Signal = field(default_factory=Signal)
     quarantined: set[str] = field(default_factory=set)
+    sound_requests: dict[int, int] = field(default_factory=dict)
 
 
 def record_own_loss(crash_log: CrashLog, lost: LostRequest, now_ms: int) -> None:
     """Record a request that this router lost in a crash, to be shared."""
     if learn_of_loss(crash_log, OWN, lost, now_ms):
         log_quarantines(crash_log, now_ms)
-        crash_log.own_lost.append(lost)
-        del crash_log.own_lost[:-MAX_OWN_REPORTS]
+        if lost.bare:
+            keep_bare(crash_log, lost)
+        else:
+            crash_log.own_lost.append(lost)
+            del crash_log.own_lost[:-MAX_OWN_REPORTS]
         share(crash_log)
 
 
+def keep_bare(crash_log: CrashLog, lost: LostRequest) -> None:
+    """Keep a bare report to be shared, in place of the oldest of the least depth."""
+    own_bare = crash_log.own_bare
+    if len(own_bare) >= MAX_OWN_BARE_REPORTS:
+        own_bare.remove(min(own_bare, key=lambda one: one.suspects[0].depth))
+    own_bare.append(lost)
+
+
+def record_sound_request(crash_log: CrashLog, request: int, now_ms: int) -> None:
+    """Record a good answer to a request, by its hash, also before any crash."""
+    crash_log.sound_requests.pop(request, None)
+    crash_log.sound_requests[request] = now_ms
+    drop_first(crash_log.sound_requests, MAX_SOUND_REQUESTS)
+
+
+def note_if_sound(crash_log: CrashLog, key: str, request: int) -> None:
+    """Take a request's last good answer, before its first crash, as one of its key."""
+    sound_ms = crash_log.sound_requests.get(request)
+    if sound_ms is not None:
+        crash_log.evidence.sound_ms.setdefault(key, sound_ms)
+
+
 def record_own_clearance(
     crash_log: CrashLog, clearance: Clearance, score: int, now_ms: int
 ) -> None:
--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -69,9 +69,9 @@
     crash_log.pending = False
     held = crash_log.evidence.reports
     crash_log.own_lost = [lost for lost in crash_log.own_lost if lost.id in held]
-    reports = CrashReports(
-        name, tuple(crash_log.own_lost), tuple(crash_log.own_cleared)
-    )
+    crash_log.own_bare = [lost for lost in crash_log.own_bare if lost.id in held]
+    own = tuple(crash_log.own_lost + crash_log.own_bare)
+    reports = CrashReports(name, own, tuple(crash_log.own_cleared))
     await store.report_crashes(reports, lease.id)
     return lease
 
--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -3,22 +3,27 @@
 import asyncio
 from hashlib import blake2b
 
-from pulley_base import PulleyError, Reason, to_seconds
-from pulley_http.connections import ClientConnection, open_connection
+from pulley_base import Reason
 from pulley_policy.crashes import (
     Scores,
     blame,
     find_quarantined,
+    last_key,
     quarantine_left_ms,
     record_good,
     score_request,
 )
 
-from .crash_log import record_own_clearance, record_own_loss
-from .jobs import AttemptFailed, Job
+from .crash_log import (
+    note_if_sound,
+    record_own_clearance,
+    record_own_loss,
+    record_sound_request,
+)
+from .crash_probes import ProbeResult, start_probe
+from .jobs import AttemptFailed, Job, Loss
 from .models import Endpoint, RetryClass
 from .routers import Router
-from .waits import read_within
 
 # Longer digests and longer prompts are truncated.
 MAX_DIGEST_LENGTH = 64
@@ -26,12 +31,6 @@
 REQUEST_DIGEST_BYTES = 12
 # A caller is not kept away for longer, as a probe or a repair may end a quarantine.
 MAX_RETRY_AFTER_MS = 60_000
-PROBE_TIMEOUT_MS = 200
-# A dying process may accept a connection before it closes all that it holds, and then
-# accepts no more; one that is full goes on closing those that it accepts.
-PROBE_OPEN_MS = 100
-PROBE_PAUSE_MS = 50
-MAX_PROBES = 2
 
 
 def part_keys(job: Job) -> list[str]:
@@ -51,15 +50,28 @@
     return f"{job.service}/request/{digest.hexdigest()}"
 
 
+def request_hash(job: Job) -> int:
+    """Return a hash of a whole request, at less cost than its key."""
+    team = "" if job.team is None else job.team.name
+    call = job.call
+    return hash(
+        (job.service, team, call.method, call.host, call.target, call.parts, job.body)
+    )
+
+
 def find_quarantine(router: Router, job: Job) -> str | None:
     """Return the key for which a job's request is quarantined, None if it may be sent.
 
     Keeps the scores of the request's keys as of now, for the attempt that follows.
     """
-    evidence = router.fleet_view.crash_log.evidence
+    crash_log = router.fleet_view.crash_log
+    evidence = crash_log.evidence
     keys = part_keys(job)
     if evidence.depths:
-        keys.append(request_key(job))
+        key = request_key(job)
+        keys.append(key)
+        if key in evidence.depths:
+            note_if_sound(crash_log, key, request_hash(job))
         quarantined = find_quarantined(evidence, keys, router.clock.now_ms())
         if quarantined is not None:
             return quarantined
@@ -75,21 +87,72 @@
 
 
 async def record_loss(router: Router, job: Job, failure: AttemptFailed) -> bool:
-    """Report a prompt that was lost as its answer began, to be held against its keys.
+    """Record a request that was lost, to be held against its keys after a crash.
+
+    A prompt that was lost as its answer began is reported with all its keys: others
+    that an endpoint held as it crashed had no answer yet, or events. Returns whether
+    it was lost in a crash, which it may have caused.
 
-    Other requests that an endpoint held as it crashed had no answer yet, or events.
-    Nothing is reported if the endpoint is up: it only broke off its answer. Returns
-    whether it was lost in a crash, which it may have caused.
+    Any other request may have been lost with it. Its loss is held until the request
+    ends, and dropped if that is with a good answer.
     """
-    if not is_crash_loss(job, failure) or not await is_down(failure.endpoint.address):
+    if not may_be_crash(failure) or job.scores is None:
         return False
     scores = with_request_key(job)
-    lost = blame(crash_id(failure.endpoint), scores)
+    probe = start_probe(router, failure.endpoint.address)
+    if is_crash_loss(job, failure):
+        loss = Loss(failure.endpoint, scores, probe, answer_began=True)
+        return await report_loss(router, loss)
+    job.losses.append(Loss(failure.endpoint, last_key(scores), probe))
+    return False
+
+
+async def report_if_suspect(router: Router, job: Job) -> None:
+    """Report what a job has lost before it is sent again, if it may be to blame.
+
+    One that was lost once, and that no other report names, need not wait for a probe.
+    """
+    known = any(loss.scores.scores[-1] for loss in job.losses)
+    if known or len(job.losses) > 1:
+        await report_losses(router, job)
+
+
+async def report_losses(router: Router, job: Job) -> None:
+    """Report the losses that a job still holds, those in crashes."""
+    while job.losses:
+        await report_loss(router, job.losses[0])
+        del job.losses[:1]
+
+
+async def report_loss(router: Router, loss: Loss) -> bool:
+    """Report a loss if its endpoint is down; an endpoint that is up only broke off.
+
+    An endpoint that can't be reached may be behind a cut link: without an answer that
+    began it says nothing. Returns whether it counts as a crash.
+    """
+    result = await asyncio.shield(loss.probe)
+    unreachable = result is ProbeResult.UNREACHABLE
+    if result is ProbeResult.UP or (unreachable and not loss.answer_began):
+        return False
+    lost = blame(crash_id(loss.endpoint), loss.scores)
     crash_log = router.fleet_view.crash_log
     record_own_loss(crash_log, lost, router.clock.now_ms())
     return True
 
 
+def report_after_end(router: Router, job: Job) -> None:
+    """Report in the background what a job without a good answer has lost."""
+    if job.losses:
+        task = asyncio.create_task(report_losses(router, job))
+        router.reporting.add(task)
+        task.add_done_callback(router.reporting.discard)
+
+
+def may_be_crash(failure: AttemptFailed) -> bool:
+    """Check whether a request that may have run lost its connection."""
+    return failure.reason is Reason.CONNECTION_LOST and failure.may_have_run
+
+
 def is_crash_loss(job: Job, failure: AttemptFailed) -> bool:
     """Check whether a stream's connection ended after its head, before any event.
 
@@ -101,31 +164,6 @@
     return lost and bool(job.call.parts)
 
 
-async def is_down(address: str) -> bool:
-    """Check whether an endpoint accepts no connection, or soon accepts no more."""
-    for _ in range(MAX_PROBES):
-        try:
-            connection = await open_connection(address, PROBE_TIMEOUT_MS)
-        except PulleyError:
-            return True
-        try:
-            if not await ends_soon(connection):
-                return False
-        finally:
-            connection.close()
-        await asyncio.sleep(to_seconds(PROBE_PAUSE_MS))
-    return False
-
-
-async def ends_soon(connection: ClientConnection) -> bool:
-    """Check whether the other side closes an unused connection at once."""
-    try:
-        await read_within(connection, PROBE_OPEN_MS, PROBE_OPEN_MS)
-    except PulleyError:
-        return True
-    return connection.ended
-
-
 def with_request_key(job: Job) -> Scores:
     """Return the scores of a job's last attempt, with its whole request as last key.
 
@@ -145,10 +183,22 @@
 
 def record_good_answer(router: Router, job: Job) -> None:
     """Clear a request's keys: its answer is whole, or goes on past its first events."""
-    scores = job.scores
-    if scores is None:
-        return
-    job.scores = None
+    scores, job.scores = job.scores, None
+    if scores is not None:
+        clear(router, scores)
+
+
+def record_good_request(router: Router, job: Job) -> None:
+    """Record a whole answer that is no stream: it says nothing of prompt parts."""
+    scores, job.scores = job.scores, None
+    crash_log = router.fleet_view.crash_log
+    record_sound_request(crash_log, request_hash(job), router.clock.now_ms())
+    if scores is not None and any(scores.crashes[-1:]):
+        clear(router, last_key(scores))
+
+
+def clear(router: Router, scores: Scores) -> None:
+    """Clear keys of the crashes that were known of them, and tell other routers."""
     now_ms = router.clock.now_ms()
     crash_log = router.fleet_view.crash_log
     score_by_key = dict(zip(scores.keys, scores.scores, strict=True))
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -9,7 +9,10 @@
 from .budgets import earn_retry, spend_retry
 from .crashes import (
     find_quarantine,
+    record_good_request,
     record_loss,
+    report_after_end,
+    report_if_suspect,
     retry_after_quarantine_ms,
 )
 from .exchanges import Exchange, end_exchange, read_whole_body
@@ -40,6 +43,24 @@
     Raises RequestRefused if there is none.
     """
     earn_retry(router, job.service)
+    try:
+        response = await send_until_answered(router, job)
+        if response.status < FIRST_NON_SUCCESS_STATUS:
+            record_success_of_job(router, job)
+        return response
+    finally:
+        report_after_end(router, job)
+
+
+def record_success_of_job(router: Router, job: Job) -> None:
+    """Drop what a job has lost; a stream clears its keys only as it goes on."""
+    job.losses.clear()
+    if job.route.retry_class is not RetryClass.STREAM:
+        record_good_request(router, job)
+
+
+async def send_until_answered(router: Router, job: Job) -> Response:
+    """Make attempts until one brings an answer to pass on, as ``dispatch`` does."""
     while True:
         quarantined = find_quarantine(router, job)
         if quarantined is not None:
@@ -66,6 +87,7 @@
                 reason = retry_denial_reason(router, job, failure)
             if reason is not None:
                 return fall_back_or_refuse(router, job, reason, str(failure))
+            await report_if_suspect(router, job)
             continue
         if response.status < FIRST_SERVER_ERROR_STATUS or not should_retry_error(
             router, job, response
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -1,5 +1,6 @@
 """A request in progress, and the error of a failed attempt."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from pulley_base import PulleyError, Reason
@@ -9,6 +10,19 @@
 from .models import Call, Endpoint, Route, Team
 
 
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """An attempt whose endpoint may have crashed, and the probe that will tell.
+
+    ``scores`` are those of the keys that the loss is held against.
+    """
+
+    endpoint: Endpoint
+    scores: Scores
+    probe: asyncio.Task
+    answer_began: bool = False
+
+
 @dataclass(slots=True)
 class Job:
     """A caller's request while the router works on it.
@@ -23,7 +37,7 @@
     ``last_bad_endpoint`` is the endpoint for which an attempt was last counted as
     bad, ``fallback_response`` an endpoint's error answer that is returned if no
     other attempt succeeds. ``scores`` are those of the request's keys when it was last
-    sent, None once it had a good answer.
+    sent, None once it had a good answer. ``losses`` are not reported yet.
     """
 
     call: Call
@@ -43,6 +57,7 @@
     last_bad_endpoint: str | None = None
     fallback_response: Response | None = None
     scores: Scores | None = None
+    losses: list[Loss] = field(default_factory=list)
 
     @property
     def may_retry(self) -> bool:
--- a/packages/direct/src/pulley_direct/routers.py
+++ b/packages/direct/src/pulley_direct/routers.py
@@ -1,5 +1,6 @@
 """The state of one router, shared by the modules that handle its requests."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from pulley_base import Clock
@@ -18,7 +19,8 @@
     """All state that handling a request reads or changes.
 
     ``stops_at_ms`` is the clock reading at which the process is killed at the
-    latest, None before SIGTERM.
+    latest, None before SIGTERM. ``probes`` holds the running crash probes by address,
+    ``reporting`` the tasks that report the losses of requests that have ended.
     """
 
     settings: RouterSettings
@@ -30,5 +32,7 @@
     counters: Counters = field(default_factory=Counters)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     routes: RouteIndex = field(default_factory=RouteIndex)
+    probes: dict[str, asyncio.Task] = field(default_factory=dict)
+    reporting: set[asyncio.Task] = field(default_factory=set)
     n_in_flight: int = 0
     stops_at_ms: int | None = None
--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -6,6 +6,10 @@
 were in flight at the same time, such as at a total outage, have the same depth. A
 good answer clears the keys of its request of the crashes known when it was sent. A
 sound key that others share is therefore cleared all the time, a deadly one never.
+
+A request that was lost before the head of its answer, or that is no prompt, leaves a
+bare report, with the key of the request alone: most requests that an endpoint holds
+as it crashes are sound, and their caller's repeat may meet another crash.
 """
 
 from collections.abc import Iterable, Sequence
@@ -18,8 +22,13 @@
 # every endpoint, and many requests share it.
 SOUND_QUARANTINE_SCORE = 6
 SOUND_MS = 60_000
+# A request with bare reports is quarantined at this score, or at the score above if it
+# was lost in so many crashes.
+BARE_QUARANTINE_SCORE = 3
+BARE_QUARANTINE_CRASHES = 4
 HOLD_MS = 300_000
 MAX_REPORTS = 256
+MAX_BARE_REPORTS = 256
 MAX_EXPIRED_REPORTS = 1_024
 MAX_SPARED_REPORTS = 32
 MAX_SOUND_KEYS = 1_024
@@ -56,6 +65,11 @@
         """Return the key of the request itself."""
         return self.suspects[-1].key
 
+    @property
+    def bare(self) -> bool:
+        """Return whether the report names the key of the request alone."""
+        return len(self.suspects) == 1
+
 
 @dataclass(frozen=True, slots=True)
 class Clearance:
@@ -89,14 +103,15 @@
 class Evidence:
     """The crash reports that a router knows, and which keys they incriminate.
 
-    ``reports`` holds them by id, ``expired`` the ids of those whose time is over, as
-    they may be read again. ``depths`` has, for each key, its depth at each crash
-    that it is not cleared of; ``cleared`` the crashes that it is cleared of;
-    ``sound_ms`` the clock reading of its last good answer. The oldest entries of each
-    come first.
+    ``reports`` holds them by id, ``n_bare`` of them bare, ``expired`` the ids of those
+    whose time is over, as they may be read again. ``depths`` has, for each key, its
+    depth at each crash that it is not cleared of; ``cleared`` the crashes that it is
+    cleared of; ``sound_ms`` the clock reading of its last good answer. The oldest
+    entries of each come first.
     """
 
     reports: dict[tuple[str, str], Held] = field(default_factory=dict)
+    n_bare: int = 0
     expired: dict[tuple[str, str], None] = field(default_factory=dict)
     depths: dict[str, dict[str, int]] = field(default_factory=dict)
     cleared: dict[str, dict[str, None]] = field(default_factory=dict)
@@ -139,14 +154,19 @@
     return LostRequest(crash, tuple(Suspect(key, score + 1) for key, score in pairs))
 
 
+def last_key(scores: Scores) -> Scores:
+    """Return the last of the keys alone, that of the request itself."""
+    return Scores(scores.keys[-1:], scores.scores[-1:], scores.crashes[-1:])
+
+
 def add_report(evidence: Evidence, lost: LostRequest, now_ms: int) -> bool:
     """Add a report; return False if it is known, or was until its time was over."""
     remove_expired(evidence, now_ms)
     if lost.id in evidence.reports or lost.id in evidence.expired:
         return False
-    if len(evidence.reports) >= MAX_REPORTS:
-        remove_report(evidence, find_replaceable(evidence))
+    make_room(evidence, lost.bare)
     evidence.reports[lost.id] = Held(lost, now_ms + HOLD_MS)
+    evidence.n_bare += lost.bare
     for suspect in lost.suspects:
         if lost.crash not in evidence.cleared.get(suspect.key, ()):
             depths = evidence.depths.setdefault(suspect.key, {})
@@ -165,25 +185,39 @@
         drop_first(evidence.expired, MAX_EXPIRED_REPORTS)
 
 
-def find_replaceable(evidence: Evidence) -> tuple[str, str]:
-    """Return the id of the oldest report that quarantines nothing.
+def make_room(evidence: Evidence, bare: bool) -> None:
+    """Remove a report if there are too many; bare ones don't push out the others."""
+    if bare:
+        full = evidence.n_bare >= MAX_BARE_REPORTS
+    else:
+        full = len(evidence.reports) - evidence.n_bare >= MAX_REPORTS
+    if full:
+        remove_report(evidence, find_replaceable(evidence, bare))
+
+
+def find_replaceable(evidence: Evidence, bare: bool) -> tuple[str, str]:
+    """Return the id of the oldest report, bare or not, that quarantines nothing.
 
     No request with a quarantined key is sent any more, so the reports about it are
     the oldest ones. Only some of these are looked at; if all are needed, the oldest
     gives way.
     """
-    for held in islice(evidence.reports.values(), MAX_SPARED_REPORTS):
+    reports = [
+        held.lost for held in evidence.reports.values() if held.lost.bare is bare
+    ]
+    for lost in islice(reports, MAX_SPARED_REPORTS):
         if not any(
             score_key(evidence, suspect.key) >= QUARANTINE_SCORE
-            for suspect in held.lost.suspects
+            for suspect in lost.suspects
         ):
-            return held.lost.id
-    return next(iter(evidence.reports))
+            return lost.id
+    return reports[0].id
 
 
 def remove_report(evidence: Evidence, report_id: tuple[str, str]) -> None:
     """Remove a report, and what it says of its keys."""
     lost = evidence.reports.pop(report_id).lost
+    evidence.n_bare -= lost.bare
     for suspect in lost.suspects:
         drop_crash(evidence, suspect.key, lost.crash)
 
@@ -258,9 +292,10 @@
 def is_quarantined(evidence: Evidence, key: str, now_ms: int) -> bool:
     """Check whether a key is to blame for some crash.
 
-    The key of a request is if it is incriminated. A part is if, besides, it was lost
-    with different requests and no narrower part of one of them is incriminated:
-    requests that share a deadly part share the wider ones too.
+    The key of a request is if it is incriminated, by bare reports more than once
+    over. A part is if, besides, it was lost with different requests and no narrower
+    part of one of them is incriminated: requests that share a deadly part share the
+    wider ones too.
     """
     if not is_incriminated(evidence, key, now_ms):
         return False
@@ -271,12 +306,23 @@
     ]
     requests = {lost.request for lost in reports}
     if key in requests:
-        return True
+        return is_request_to_blame(evidence, key, reports)
     return len(requests) > 1 and any(
         find_culprit(evidence, lost, now_ms) == key for lost in reports
     )
 
 
+def is_request_to_blame(
+    evidence: Evidence, key: str, reports: Sequence[LostRequest]
+) -> bool:
+    """Check whether an incriminated request is to blame for some of its crashes."""
+    n_full = sum(not lost.bare for lost in reports)
+    if n_full >= QUARANTINE_SCORE:
+        return True
+    enough_crashes = len(evidence.depths[key]) >= BARE_QUARANTINE_CRASHES
+    return enough_crashes or score_key(evidence, key) >= BARE_QUARANTINE_SCORE
+
+
 def has_key(lost: LostRequest, key: str) -> bool:
     """Check whether a lost request has a key."""
     return any(suspect.key == key for suspect in lost.suspects)
--- a/tests/direct/crash_log.feature
+++ b/tests/direct/crash_log.feature
@@ -18,3 +18,10 @@
     Given a part that is quarantined by a report
     When 20 routers report 32 losses each
     Then that part is quarantined
+
+  # Guards against crashes with many requests in flight that push out a router's own
+  # reports, which one that starts later needs.
+  Scenario: A router loses many requests that name no part
+    Given a router that lost two prompts with one part and a request at depth 2
+    When it loses 1000 other requests
+    Then it still shares these 3 reports, and at most 48 in all
--- a/tests/direct/steps/crash_log.py
+++ b/tests/direct/steps/crash_log.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from pulley_direct import crash_log
-from pulley_direct.crash_log import CrashLog, apply_reports
+from pulley_direct.crash_log import CrashLog, apply_reports, record_own_loss
 from pulley_direct.models import CrashReports
 from pulley_policy.crashes import LostRequest, Suspect, list_quarantined
 
@@ -62,3 +62,30 @@
 def check_quarantined(context):
     found = list_quarantined(context.log.evidence, context.now_ms)
     assert found == [PART], found
+
+
+@given("a router that lost two prompts with one part and a request at depth 2")
+def lose_own(context):
+    context.log = CrashLog()
+    deep = LostRequest("four", (Suspect("request-3", 2),))
+    context.first = [
+        lose("one", PART, "request-1", 1),
+        lose("two", PART, "request-2", 2),
+        deep,
+    ]
+    for lost in context.first:
+        record_own_loss(context.log, lost, 0)
+
+
+@when("it loses {n:d} other requests")
+def lose_others(context, n):
+    for number in range(n):
+        lost = LostRequest(f"crash-{number}", (Suspect(f"other-{number}", 1),))
+        record_own_loss(context.log, lost, 0)
+
+
+@then("it still shares these {n:d} reports, and at most {most:d} in all")
+def check_shared(context, n, most):
+    shared = context.log.own_lost + context.log.own_bare
+    assert len(context.first) == n and len(shared) <= most, len(shared)
+    assert all(lost in shared for lost in context.first), shared
--- /dev/null
+++ b/tests/direct/steps/crashing_request.py
@@ -0,0 +1,293 @@
+"""Steps with endpoints that crash as they begin to run a certain request."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from unittest.mock import AsyncMock, patch
+
+from behave import then, when
+from crashing_hosts import (
+    N_ROUTERS,
+    Host,
+    HostScene,
+    abort_connections,
+    crash_host,
+    start_scene,
+)
+from pulley_platform_standins.endpoints import answer_request, header_text
+from pulley_platform_standins.stores import put_document
+from scenes import CHAT, LOOKUP, ORDER, Answer, configuration, send_call
+
+from pulley_direct import crash_probes
+from pulley_http import Response
+from pulley_policy.crashes import list_quarantined
+
+PATHS = {"lookup": LOOKUP, "order": ORDER, "prompt": CHAT}
+PARTS = "f1:100,aa:10"
+DEADLY = "deadly"
+POPULAR = "popular"
+MARGIN_S = 1.0
+SETTLED_S = 0.8
+SLOW_ANSWER_S = 0.2
+OTHERS_EVERY_S = 0.1
+PAUSE_IN_BURST_S = 0.04
+REFUSED_AT_ONCE_MS = 100
+SLOW_PROBE_MS = 800
+N_LAST = 3
+N_DIFFERENT = 20
+
+
+@dataclass(slots=True)
+class Scene(HostScene):
+    """Requests with the body of ``deadly`` crash endpoints; when and where they came.
+
+    Endpoints wait ``slow_s`` before each answer.
+    """
+
+    slow_s: float = 0.0
+    arrivals_s: list[float] = field(default_factory=list)
+    answers: list[Answer] = field(default_factory=list)
+    others: list[Answer] = field(default_factory=list)
+    n_sent: int = 0
+    quarantined: list[list[str]] = field(default_factory=list)
+    n_reports: list[int] = field(default_factory=list)
+
+
+async def answer_or_crash(scene: Scene, host: Host, request) -> Response:
+    """Crash if the request is the deadly one; answer any other."""
+    loop = asyncio.get_running_loop()
+    if header_text(request, b"x-name") == DEADLY:
+        scene.arrivals_s.append(loop.time())
+        crash_host(scene, host)
+        await asyncio.sleep(1.0)
+    await asyncio.sleep(scene.slow_s)
+    return await answer_request(host.endpoint, request)
+
+
+def serve_models(scene: Scene) -> None:
+    """Let all routes go to the service of the hosts."""
+    document = configuration(2, ["token-of-orto"])
+    for route in document["routes"]:
+        route["service"] = scene.service
+    put_document(scene.fixture.store, "op/config", document)
+
+
+async def send(scene: Scene, path: str, name: str, body: bytes) -> Answer:
+    """Send a request to the next router."""
+    running = scene.routers[scene.n_sent % N_ROUTERS]
+    scene.n_sent += 1
+    return await send_call(
+        scene.fixture.client,
+        running.caller_server.address,
+        path,
+        request_id=f"request-{scene.n_sent}",
+        parts=PARTS,
+        headers=[(b"x-name", name.encode())],
+        body=body,
+    )
+
+
+async def send_deadly(scene: Scene, kind: str) -> None:
+    """Send the deadly request once more."""
+    answer = await send(scene, PATHS[kind], DEADLY, b'{"id": "deadly"}')
+    scene.answers.append(answer)
+
+
+async def send_others(scene: Scene) -> None:
+    """Send a popular lookup and different ones, as long as the scenario lasts."""
+    while True:
+        body = b'{"id": %d}' % scene.n_sent
+        scene.others.append(await send(scene, LOOKUP, "", body))
+        scene.others.append(await send(scene, LOOKUP, "", b"{}"))
+        await asyncio.sleep(OTHERS_EVERY_S)
+
+
+async def run_scene(play) -> Scene:
+    """Start a scene, play a part in it, and read what the routers hold in the end."""
+    scene = Scene(answer_or_crash)
+    async with start_scene(scene):
+        serve_models(scene)
+        await asyncio.sleep(SETTLED_S)
+        await play(scene)
+        await asyncio.sleep(SETTLED_S)
+        for running in scene.routers:
+            router = running.router
+            evidence = router.fleet_view.crash_log.evidence
+            scene.quarantined.append(list_quarantined(evidence, router.clock.now_ms()))
+            scene.n_reports.append(len(evidence.reports))
+        for task in filter(asyncio.Task.done, scene.tasks):
+            task.result()
+    return scene
+
+
+async def send_beside_others(scene: Scene, kind: str, pauses_s: list[float]) -> None:
+    """Send the deadly request, with pauses in s, while others come."""
+    others = asyncio.create_task(send_others(scene))
+    async with asyncio.TaskGroup() as group:
+        for pause_s in pauses_s:
+            group.create_task(send_deadly(scene, kind))
+            await asyncio.sleep(pause_s)
+    others.cancel()
+
+
+@when("one {kind} that crashes endpoints comes every {every:d} ms for {duration:d} s")
+def send_again(context, kind, every, duration):
+    pauses_s = [every / 1_000] * (duration * 1_000 // every)
+
+    async def play(scene):
+        await send_beside_others(scene, kind, pauses_s)
+
+    context.crashing = asyncio.run(run_scene(play))
+
+
+@when(
+    "one {kind} that crashes endpoints comes in bursts of {n:d}, one every {every:d} ms"
+)
+def send_bursts(context, kind, n, every):
+    burst = [PAUSE_IN_BURST_S] * (n - 1) + [every / 1_000]
+
+    async def play(scene):
+        await send_beside_others(scene, kind, burst * 4)
+
+    context.crashing = asyncio.run(run_scene(play))
+
+
+@then("at most {n:d} of its arrivals are later than {late:d} s after the third crash")
+def check_late(context, n, late):
+    scene = context.crashing
+    assert len(scene.crashes_s) >= 3, scene.crashes_s
+    start_s = scene.crashes_s[2] + late
+    arrived = [round(one - start_s, 2) for one in scene.arrivals_s if one > start_s]
+    assert len(arrived) <= n, f"{len(arrived)} arrivals: {arrived}"
+
+
+@then("endpoints crash at most {n:d} times")
+def check_crashes(context, n):
+    crashes_s = context.crashing.crashes_s
+    found = [round(one - crashes_s[0], 2) for one in crashes_s]
+    assert len(found) <= n, found
+
+
+@then("the last ones are refused at once as not run and quarantined")
+def check_refused(context):
+    for answer in context.crashing.answers[-N_LAST:]:
+        found = answer.status, answer.header("pulley-reason")
+        assert found == (503, "quarantined"), found
+        assert answer.header("pulley-outcome") == "not-run"
+        assert answer.took_ms < REFUSED_AT_ONCE_MS, answer.took_ms
+
+
+@then("every router names that request alone as quarantined")
+def check_named(context):
+    found = context.crashing.quarantined
+    assert len({tuple(keys) for keys in found}) == 1, found
+    assert len(found[0]) == 1 and "/request/" in found[0][0], found
+
+
+@when("every endpoint is killed under a popular lookup and many different ones")
+def kill_all(context):
+    async def play(scene):
+        for _ in scene.routers:
+            await send(scene, LOOKUP, "", b"{}")
+        scene.slow_s = SLOW_ANSWER_S
+        for _ in range(2):
+            lookups = [send(scene, LOOKUP, "", b"{}") for _ in range(N_DIFFERENT)]
+            lookups += [
+                send(scene, LOOKUP, "", b'{"id": %d}' % number)
+                for number in range(N_DIFFERENT)
+            ]
+            async with asyncio.TaskGroup() as group:
+                for one in lookups:
+                    group.create_task(one)
+                await asyncio.sleep(SLOW_ANSWER_S / 2)
+                for host in scene.hosts:
+                    crash_host(scene, host)
+            await asyncio.sleep(SETTLED_S)
+        scene.answers.append(await send(scene, LOOKUP, "", b"{}"))
+
+    context.crashing = asyncio.run(run_scene(play))
+
+
+@when("one order is lost in {n:d} crashes that it did not cause")
+def lose_order(context, n):
+    async def play(scene):
+        scene.slow_s = SLOW_ANSWER_S
+        for _ in range(n):
+            task = asyncio.create_task(send(scene, ORDER, "", b"{}"))
+            await asyncio.sleep(SLOW_ANSWER_S / 2)
+            for host in scene.hosts:
+                crash_host(scene, host)
+            assert (await task).status == 502
+            await asyncio.sleep(SETTLED_S)
+        scene.answers.append(await send(scene, ORDER, "", b"{}"))
+
+    context.crashing = asyncio.run(run_scene(play))
+
+
+@then("no key is quarantined at any router")
+def check_none(context):
+    scene = context.crashing
+    assert scene.quarantined == [[]] * N_ROUTERS, scene.quarantined
+
+
+@then("the lookup has its whole answer")
+@then("the order has its whole answer")
+def check_whole(context):
+    answer = context.crashing.answers[-1]
+    assert (answer.status, answer.whole) == (200, True), answer
+
+
+async def reset_under(scene: Scene, path: str, n: int) -> None:
+    """Reset all connections to endpoints under different requests."""
+    scene.slow_s = SLOW_ANSWER_S
+    bodies = [b'{"id": %d}' % number for number in range(n)]
+    answers = asyncio.gather(*(send(scene, path, "", body) for body in bodies))
+    await asyncio.sleep(SLOW_ANSWER_S / 2)
+    scene.slow_s = 0
+    for host in scene.hosts:
+        abort_connections(host.endpoint)
+    scene.answers = await answers
+
+
+@when("{n:d} orders are lost as their endpoints can no longer be reached")
+def cut_links(context, n):
+    async def play(scene):
+        await reset_under(scene, ORDER, n)
+        assert {one.status for one in scene.answers} == {502}, scene.answers
+
+    probe = AsyncMock(return_value=crash_probes.ProbeResult.UNREACHABLE)
+    with patch.object(crash_probes, "probe_endpoint", probe):
+        context.crashing = asyncio.run(run_scene(play))
+    assert probe.called
+
+
+@when("endpoints that are up reset {n:d} lookups, each once")
+def reset_lookups(context, n):
+    async def play(scene):
+        await reset_under(scene, LOOKUP, n)
+
+    probe = crash_probes.probe_endpoint
+    with (
+        patch.object(crash_probes, "PROBE_OPEN_MS", SLOW_PROBE_MS),
+        patch.object(crash_probes, "probe_endpoint", wraps=probe) as probes,
+    ):
+        context.crashing = asyncio.run(run_scene(play))
+    context.n_probes = Counter(one.args[0] for one in probes.call_args_list)
+
+
+@then("each of them has its answer before a probe's end")
+def check_resent(context):
+    for answer in context.crashing.answers:
+        found = answer.status, answer.whole
+        assert found == (200, True), found
+        assert answer.took_ms < SLOW_PROBE_MS, answer.took_ms
+
+
+@then("no router probes an endpoint more than once at a time")
+def check_probes(context):
+    assert 0 < max(context.n_probes.values()) <= N_ROUTERS, context.n_probes
+
+
+@then("no router holds a report")
+def check_reports(context):
+    assert context.crashing.n_reports == [0] * N_ROUTERS, context.crashing.n_reports
