--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -202,16 +202,17 @@
     the oldest ones. Only some of these are looked at; if all are needed, the oldest
     gives way.
     """
-    reports = [
+    reports = (
         held.lost for held in evidence.reports.values() if held.lost.bare is bare
-    ]
-    for lost in islice(reports, MAX_SPARED_REPORTS):
+    )
+    oldest = list(islice(reports, MAX_SPARED_REPORTS))
+    for lost in oldest:
         if not any(
             score_key(evidence, suspect.key) >= QUARANTINE_SCORE
             for suspect in lost.suspects
         ):
             return lost.id
-    return reports[0].id
+    return oldest[0].id
 
 
 def remove_report(evidence: Evidence, report_id: tuple[str, str]) -> None:
