--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -10,7 +10,12 @@
 from pulley_policy.keepers import list_kept
 from pulley_policy.probation import find_place
 
-from .crash_log import CLEARANCE_MS, MAX_OWN_REPORTS, CrashLog
+from .crash_log import (
+    CLEARANCE_MS,
+    MAX_OWN_BARE_REPORTS,
+    MAX_OWN_REPORTS,
+    CrashLog,
+)
 from .models import CrashReports
 from .routers import Router
 from .signals import wait_until
@@ -92,11 +97,12 @@
     now_ms = router.clock.now_ms()
     place = find_place(router.settings.instance, router.fleet_view.routers)
     kept = list_kept(evidence, place, now_ms)
-    own = [lost for lost in crash_log.own_lost if lost.id in evidence.reports]
-    newest = {lost.id: lost for lost in (*kept, *reversed(own))}
+    own = (*reversed(crash_log.own_lost), *reversed(crash_log.own_bare))
+    own = [lost for lost in own if lost.id in evidence.reports]
+    newest = {lost.id: lost for lost in (*kept, *own)}
     return tuple(
         describe_report(evidence, lost, now_ms)
-        for lost in islice(newest.values(), MAX_OWN_REPORTS)
+        for lost in islice(newest.values(), MAX_OWN_REPORTS + MAX_OWN_BARE_REPORTS)
     )
 
 
@@ -112,8 +118,9 @@
     """Drop this router's reports and clearances whose time is over."""
     evidence = crash_log.evidence
     remove_expired(evidence, now_ms)
-    own_lost = crash_log.own_lost
-    crash_log.own_lost = [lost for lost in own_lost if lost.id in evidence.reports]
+    held = evidence.reports
+    crash_log.own_lost = [lost for lost in crash_log.own_lost if lost.id in held]
+    crash_log.own_bare = [lost for lost in crash_log.own_bare if lost.id in held]
     while crash_log.own_cleared:
         oldest = next(iter(crash_log.own_cleared))
         if now_ms - crash_log.own_cleared[oldest] < CLEARANCE_MS:
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -10,7 +10,10 @@
 from .budgets import earn_retry, spend_retry
 from .crashes import (
     find_quarantine,
+    record_good_request,
     record_loss,
+    report_after_end,
+    report_if_suspect,
     retry_after_quarantine_ms,
 )
 from .exchanges import Exchange, end_exchange, read_whole_body
@@ -41,7 +44,20 @@
     """
     earn_retry(router, job.service)
     job.elsewhere = Elsewhere(partial(answer_elsewhere, router), discard_response)
-    return await find_answer(router, job)
+    try:
+        response = await find_answer(router, job)
+        if response.status < FIRST_NON_SUCCESS_STATUS:
+            record_success_of_job(router, job)
+        return response
+    finally:
+        report_after_end(router, job)
+
+
+def record_success_of_job(router: Router, job: Job) -> None:
+    """Drop what a job has lost; a stream clears its keys only as it goes on."""
+    job.losses.clear()
+    if job.route.retry_class is not RetryClass.STREAM:
+        record_good_request(router, job)
 
 
 async def find_answer(router: Router, job: Job) -> Response:
@@ -103,6 +119,7 @@
     reason = retry_denial_reason(router, job, failure)
     if reason is not None:
         return fall_back_or_refuse(router, job, reason, str(failure))
+    await report_if_suspect(router, job)
     return None
 
 
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -28,6 +28,19 @@
     bound: float
 
 
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """An attempt whose endpoint may have crashed, and the probe that will tell.
+
+    ``scores`` are those of the keys that the loss is held against.
+    """
+
+    endpoint: Endpoint
+    scores: Scores
+    probe: asyncio.Task
+    answer_began: bool = False
+
+
 @dataclass(slots=True)
 class Job:
     """A caller's request while the router works on it.
@@ -45,7 +58,8 @@
     sent, None once it had a good answer. ``placement`` tells why the endpoint of the
     last attempt was chosen, ``reported`` is the load that this endpoint reported.
     ``elsewhere`` is set once the job is dispatched; ``other`` is the attempt beside the
-    present one, if that is silent.
+    present one, if that is silent. ``losses`` are
+    not reported yet.
     """
 
     call: Call
@@ -69,6 +83,7 @@
     reported: ReportedLoad | None = None
     elsewhere: "Elsewhere | None" = None
     other: "OtherAttempt | None" = None
+    losses: list[Loss] = field(default_factory=list)
 
     @property
     def may_retry(self) -> bool:
--- a/packages/direct/src/pulley_direct/routers.py
+++ b/packages/direct/src/pulley_direct/routers.py
@@ -20,7 +20,8 @@
 
     ``stops_at_ms`` is the clock reading at which the process is killed at the
     latest, None before SIGTERM. ``gossip`` is the socket for datagrams between
-    routers, None without one.
+    routers, None without one. ``probes`` holds the running crash probes by address,
+    ``reporting`` the tasks that report the losses of requests that have ended.
     """
 
     settings: RouterSettings
@@ -32,6 +33,8 @@
     counters: Counters = field(default_factory=Counters)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     routes: RouteIndex = field(default_factory=RouteIndex)
+    probes: dict[str, asyncio.Task] = field(default_factory=dict)
+    reporting: set[asyncio.Task] = field(default_factory=set)
     n_in_flight: int = 0
     stops_at_ms: int | None = None
     gossip: asyncio.DatagramTransport | None = None
