Keep all else that scores hold when a request's own key is taken

The scores of a bare report were built anew from three fields; a field that is added to them would be lost there.

--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -13,7 +13,7 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import islice
 
 # Crashes in succession after which a key is quarantined; one may be chance.
@@ -156,7 +156,12 @@
 
 def last_key(scores: Scores) -> Scores:
     """Return the last of the keys alone, that of the request itself."""
-    return Scores(scores.keys[-1:], scores.scores[-1:], scores.crashes[-1:])
+    return replace(
+        scores,
+        keys=scores.keys[-1:],
+        scores=scores.scores[-1:],
+        crashes=scores.crashes[-1:],
+    )
 
 
 def add_report(evidence: Evidence, lost: LostRequest, now_ms: int) -> bool:
