Follow the list of quarantined keys in the simulations of whole requests

find_quarantined returns all quarantined keys of a request since keys are probed, and one or none before. The checks are as they were. Suite policy passes.

--- a/tests/policy/steps/crashing_requests.py
+++ b/tests/policy/steps/crashing_requests.py
@@ -104,7 +104,7 @@
 def send_deadly(fleet, router):
     """Send the request that crashes endpoints, unless it is quarantined."""
     evidence = fleet.evidence[router]
-    if find_quarantined(evidence, (DEADLY,), fleet.now_ms) is not None:
+    if find_quarantined(evidence, (DEADLY,), fleet.now_ms):
         return
     scores = score_request(evidence, (DEADLY,))
     fleet.crashes_ms.append(fleet.now_ms)
@@ -165,7 +165,8 @@
 def find_subject(context):
     """Return the key for which the request is quarantined, if it is."""
     fleet = context.sent
-    return find_quarantined(fleet.evidence[0], (SUBJECT,), fleet.now_ms)
+    quarantined = find_quarantined(fleet.evidence[0], (SUBJECT,), fleet.now_ms)
+    return next(iter(quarantined), None)
 
 
 @given("a part that is quarantined")
@@ -187,7 +188,7 @@
 @then("that part is still quarantined")
 def check_part(context):
     fleet = context.sent
-    assert find_quarantined(fleet.evidence[0], (PART,), fleet.now_ms) == PART
+    assert find_quarantined(fleet.evidence[0], (PART,), fleet.now_ms) == [PART]
 
 
 @then("at most {n:d} reports that name a request alone are held")
@@ -216,7 +217,7 @@
     """Send a sound request from some router to some endpoint."""
     router = rng.randrange(len(fleet.evidence))
     evidence = fleet.evidence[router]
-    if find_quarantined(evidence, (key,), fleet.now_ms) is not None:
+    if find_quarantined(evidence, (key,), fleet.now_ms):
         fleet.n_refused += 1
         return
     scores = score_request(evidence, (key,))
