List both endpoints before the request of a second attempt's test

Once in a run of the direct suite, at a load average of some 14, "The second endpoint answers" timed out after 10 s: the second endpoint had not been asked. The test listed it while the request's 1.8 s ran, so a late read of the store leaves no time for it; now both are listed before, and the second is in backoff until the first one has the request. As strict as before: the planted faults "orders asked twice", "budget ignored" and "reserved retry spent again" fail in the same scenarios.

--- a/tests/direct/steps/other_attempts.py
+++ b/tests/direct/steps/other_attempts.py
@@ -20,7 +20,7 @@
 from timed_endpoints import answer_head
 
 from pulley_direct.budgets import get_budget
-from pulley_direct.loads import get_state
+from pulley_direct.loads import get_state, record_success, start_backoff
 from pulley_policy.crashes import LostRequest, Suspect, add_report
 
 TIMEOUT_MS = 1_800
@@ -66,30 +66,39 @@
     second: GatedEndpoint
 
 
+@asynccontextmanager
+async def start_first(kind: str, opening: bytes = b"") -> AsyncIterator[Pair]:
+    """Send a request to the first of two endpoints, which is silent."""
+    service = SERVICES[kind]
+    async with asyncio.timeout(LIMIT_S), start_fixture(n_endpoints=0) as fixture:
+        first = await add_gated(fixture, "first", service, opening)
+        second = await add_gated(fixture, "second", service)
+        await wait_until_synced(fixture)
+        loads = fixture.router.loads
+        start_backoff(loads, "second")
+        task = asyncio.create_task(call(fixture, PATHS[kind], timeout_ms=TIMEOUT_MS))
+        await first.asked.wait()
+        record_success(loads, "second")
+        get_state(loads, "first").unreachable = kind == "stream"
+        yield Pair(fixture, task, first, second)
+
+
 @asynccontextmanager
 async def start_pair(
     kind: str, opening: bytes = b"", *, earlier_crash: bool = False
 ) -> AsyncIterator[Pair]:
-    """Send a request to an endpoint that is silent until a second one is asked.
+    """Send a request to an endpoint that is silent until the second one is asked.
 
     With ``earlier_crash`` the router learns of another crash in between, with a part of
     the request.
     """
-    service = SERVICES[kind]
-    async with asyncio.timeout(LIMIT_S), start_fixture(n_endpoints=0) as fixture:
-        first = await add_gated(fixture, "first", service, opening)
-        await wait_until_synced(fixture)
-        task = asyncio.create_task(call(fixture, PATHS[kind], timeout_ms=TIMEOUT_MS))
-        await first.asked.wait()
-        state = get_state(fixture.router.loads, "first")
-        state.unreachable = kind == "stream"
+    async with start_first(kind, opening) as pair:
         if earlier_crash:
-            evidence = fixture.router.fleet_view.crash_log.evidence
-            assert add_report(evidence, EARLIER, fixture.router.clock.now_ms())
-        second = await add_gated(fixture, "second", service)
-        await wait_until_synced(fixture)
-        await second.asked.wait()
-        yield Pair(fixture, task, first, second)
+            router = pair.fixture.router
+            evidence = router.fleet_view.crash_log.evidence
+            assert add_report(evidence, EARLIER, router.clock.now_ms())
+        await pair.second.asked.wait()
+        yield pair
 
 
 async def read_state(context, pair: Pair) -> None:
@@ -216,24 +225,19 @@
 
 
 def read_without_second(context, kind: str, *, n_retries: float | None = None) -> None:
-    """Read a late answer of one endpoint while another one is free.
+    """Read the first endpoint's late answer while the second one is free.
 
     ``n_retries`` replaces what is left of the retry budget.
     """
 
     async def run():
-        async with start_fixture(n_endpoints=0) as fixture:
-            first = await add_gated(fixture, "first", "shop")
-            await wait_until_synced(fixture)
-            calling = call(fixture, PATHS[kind], timeout_ms=TIMEOUT_MS)
-            task = asyncio.create_task(calling)
-            await first.asked.wait()
+        async with start_first(kind) as pair:
             if n_retries is not None:
-                get_budget(fixture.router, "shop").left = n_retries
-            context.second = await add_gated(fixture, "second", "shop")
+                get_budget(pair.fixture.router, "shop").left = n_retries
             await asyncio.sleep(SILENCE_S)
-            release(first, whole_answer(FIRST_BODY))
-            context.answer = await task
+            release(pair.first, whole_answer(FIRST_BODY))
+            await read_state(context, pair)
+            context.second = pair.second
 
     asyncio.run(run())
 
