Test the last look at the socket after a timeout

A wait that has expired looks for bytes once more before its task acts on it, as the loop may have been busy between the two. Without that look callers get 408 for a head or a body that is there, or their request is sent again.

The new scenarios send in the turn between the expiry and the task: 408 for a head and for a body without the look in wait_for_event, and a wait that reports nothing without that in read_within.

--- a/tests/direct/stalls.feature
+++ b/tests/direct/stalls.feature
@@ -20,6 +20,11 @@
     When an endpoint ends a stream while the loop is busy
     Then the answer is complete, with the status 200
 
+  # Guards against a wait that ends without a last look at the socket.
+  Scenario: Bytes that arrived as a wait expired end it like others
+    When an endpoint's bytes arrive as a wait for them expires
+    Then the wait reports that bytes came
+
   # Guards against a 503 because this router was too busy to see that it was connected.
   Scenario: An endpoint that accepted a connection while the loop was busy is reachable
     When the loop is busy while the router connects to an endpoint
--- a/tests/direct/steps/stalls.py
+++ b/tests/direct/steps/stalls.py
@@ -1,6 +1,7 @@
 """Steps in which an endpoint's bytes arrive while the event loop is blocked."""
 
 import asyncio
+import socket
 import time
 from unittest.mock import patch
 
@@ -18,12 +19,17 @@
 
 from pulley_direct import channels
 from pulley_direct.loads import get_state
+from pulley_direct.waits import read_within
+from pulley_http.connections import open_connection
 
 # Longer than the interval at which a silent endpoint is checked.
 BLOCK_MS = 200
 # Longer than the connect timeout.
 CONNECT_BLOCK_MS = 300
 PAUSE_S = 0.05
+# A wait that expires in a block, and the time in the block at which bytes are due.
+WAIT_MS = 100
+BYTES_MS = 150
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
 
 
@@ -81,6 +87,38 @@
     call_raw_endpoint(context, stream_in_block, ONCE, "model")
 
 
+def send_between_turns(peer: socket.socket) -> None:
+    """Block the loop while a wait expires; send bytes before its task resumes."""
+    loop = asyncio.get_running_loop()
+
+    def send():
+        peer.send(b"HTTP/1.1 200 OK\r\n")
+        time.sleep(PAUSE_S)
+
+    loop.call_later(PAUSE_S, time.sleep, BLOCK_MS / 1_000)
+    loop.call_later(BYTES_MS / 1_000, loop.call_soon, send)
+
+
+@when("an endpoint's bytes arrive as a wait for them expires")
+def send_as_wait_expires(context):
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = "%s:%s" % listener.getsockname()[:2]
+            connection = await open_connection(address, CONNECT_BLOCK_MS)
+            peer, _address = listener.accept()
+            with peer:
+                send_between_turns(peer)
+                context.came = await read_within(connection, WAIT_MS, 0)
+            connection.close()
+
+    asyncio.run(run())
+
+
+@then("the wait reports that bytes came")
+def check_came(context):
+    assert context.came
+
+
 @then("the answer is complete, with the status {status:d}")
 def check_complete(context, status):
     answer = context.answer
--- a/tests/http/stalls.feature
+++ b/tests/http/stalls.feature
@@ -24,6 +24,16 @@
     When the rest of a body arrives while the loop is busy past the body timeout
     Then its answer has the status "200"
 
+  # Guards against a 408 by a task that does not look at the socket once more.
+  Scenario Outline: The rest of a <part> that arrived as its timeout expired is read
+    When the rest of a <part> arrives after its last timeout, while the loop is busy
+    Then its answer has the status "200"
+
+    Examples:
+      | part |
+      | head |
+      | body |
+
   # Guards against an endpoint that counts as unreachable because this process was busy.
   Scenario: A connection that was made while the loop was busy is used
     When a connection is made while the loop is busy past the connect timeout
--- a/tests/http/steps/stalls.py
+++ b/tests/http/steps/stalls.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+from functools import partial
 
 from behave import then, when
 from raw_callers import block_loop, connect_raw, read_status
@@ -24,9 +25,16 @@
 # A second block that is due while the first lasts, after the timeout.
 SECOND_BLOCK_START_MS = 400
 SECOND_BLOCK_MS = 50
+# A block that uses up the time that may be granted again, so that the timeout expires
+# at 1,000 ms; one in which it expires; and bytes that arrive before its task resumes.
+LONG_BLOCK_MS = 500
+LAST_BLOCK_START_MS = 900
+LAST_BLOCK_MS = 200
+LAST_BYTES_MS = 1_050
 CONNECT_TIMEOUT_MS = 100
 HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n"
 BODY = b"data"
+PARTS = {"head": (HEAD[:10], HEAD[10:] + BODY), "body": (HEAD + BODY[:1], BODY[1:])}
 
 
 async def echo(request):
@@ -60,6 +68,28 @@
     context.status = asyncio.run(send_in_block(HEAD + BODY[:1], BODY[1:]))
 
 
+@when("the rest of a {part} arrives after its last timeout, while the loop is busy")
+def send_rest_after_last_timeout(context, part):
+    first, rest = PARTS[part]
+
+    async def run():
+        server = await start_server(echo, "127.0.0.1", 0, limits=LIMITS)
+        loop = asyncio.get_running_loop()
+        async with connect_raw(server) as caller:
+            caller.send(first)
+            blocks = {BLOCK_START_MS: LONG_BLOCK_MS, LAST_BLOCK_START_MS: LAST_BLOCK_MS}
+            for start_ms, block_ms in blocks.items():
+                loop.call_later(start_ms / 1_000, block_loop, block_ms, caller, b"")
+            # In the turn after the one in which the timeout expires.
+            send = partial(block_loop, SECOND_BLOCK_MS, caller, rest)
+            loop.call_later(LAST_BYTES_MS / 1_000, loop.call_soon, send)
+            status = await read_status(caller)
+        server.listener.close()
+        return status
+
+    context.status = asyncio.run(run())
+
+
 @when("a request arrives while the loop is busy after the idle timeout")
 def send_request_after_idle_timeout(context):
     async def run():
