Give connects between processes the time for which this one was busy

What was seen: a router or an agent counts a live peer as unreachable if its own event loop was busy past the connect timeout, and tries it again only after a backoff.

Cause: the connect of the wire package still used a timeout of asyncio, which cancels the connect in the turn in which the loop finds that it had succeeded.

Now it uses time_limit, which grants as long again when it is noticed late. Before: TimedOut, "no connection in time", in the new scenario, with the loop blocked for 1.5 s of 1. After: suite wire passes.

--- a/packages/wire/src/pulley_wire/connections.py
+++ b/packages/wire/src/pulley_wire/connections.py
@@ -12,6 +12,7 @@
     TimedOut,
     log_event,
     split_address,
+    time_limit,
     to_seconds,
     warn_event,
 )
@@ -274,7 +275,7 @@
     host, port = split_address(peer)
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(to_seconds(CONNECT_TIMEOUT_MS)):
+        async with time_limit(CONNECT_TIMEOUT_MS):
             _transport, connection = await loop.create_connection(
                 make_connection, host, port
             )
--- a/tests/wire/steps/stops.py
+++ b/tests/wire/steps/stops.py
@@ -6,8 +6,9 @@
 
 from behave import then, when
 
-from pulley_base import Clock
+from pulley_base import Clock, PulleyError
 from pulley_wire.connections import (
+    CONNECT_TIMEOUT_MS,
     REASON_SILENT,
     SILENCE_TIMEOUT_MS,
     FrameStamp,
@@ -19,6 +20,7 @@
 STOP_S = SILENCE_TIMEOUT_MS / 1_000 + 0.5
 # Enough for a heartbeat and its answer.
 WAIT_S = 1.0
+CONNECT_BLOCK_S = CONNECT_TIMEOUT_MS / 1_000 + 0.5
 MAX_WAIT_S = SILENCE_TIMEOUT_MS / 1_000 + 2
 
 
@@ -74,3 +76,24 @@
 @then("its connection is closed for the reason of silence")
 def check_closed(context):
     assert context.closed == [REASON_SILENT], context.closed
+
+
+@when("the loop is busy past the connect timeout while a peer accepts a connection")
+def connect_while_busy(context):
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as peer:
+            address = "%s:%s" % peer.getsockname()[:2]
+            asyncio.get_running_loop().call_soon(time.sleep, CONNECT_BLOCK_S)
+            connection = await connect_peer(address, lambda: make_connection([]))
+            connection.close("end")
+
+    context.error = None
+    try:
+        asyncio.run(run())
+    except PulleyError as error:
+        context.error = error
+
+
+@then("the connection is open")
+def check_connected(context):
+    assert context.error is None, repr(context.error)
--- a/tests/wire/stops.feature
+++ b/tests/wire/stops.feature
@@ -9,3 +9,8 @@
   Scenario: A peer that is silent after a stop is noticed
     When a process with work in flight is stopped and its peer is silent from then on
     Then its connection is closed for the reason of silence
+
+  # Guards against a peer that counts as unreachable because this process was busy.
+  Scenario: A connection that was made while the loop was busy is used
+    When the loop is busy past the connect timeout while a peer accepts a connection
+    Then the connection is open
