Pass on answers that are there when a busy router's drain ends

What callers saw: a connection that closes with no answer, though their endpoint had answered 0.2 s before the end of the drain.

Cause: the drain ended as soon as the clock was past its end. A router that was busy until then had the endpoint's answer in its buffer, and cut the connection before the request's task could run.

Now the drain waits one poll interval, 50 ms of the 300 ms that are kept before the process would be killed, after the end was noticed. It does not depend on what callers or endpoints do.

--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -173,7 +173,10 @@
     caller_server.draining = True
     log_event(logger, "draining", n_in_flight=router.n_in_flight)
     await asyncio.sleep(to_seconds(LAST_CONNECTIONS_MS))
-    while caller_server.connections and clock.now_ms() < end_ms:
+    ends = False
+    while caller_server.connections and not ends:
+        # The router may have been busy until the end: answers may be there, unread.
+        ends = clock.now_ms() >= end_ms
         for connection in list(caller_server.connections):
             connection.close_if_idle()
         await asyncio.sleep(to_seconds(DRAIN_POLL_MS))
