Refuse a head that still arrives byte by byte past its timeout

What was seen: a caller that keeps sending single bytes of a head is not refused at the head timeout of 300 ms, but at the limit on its size: 431 after 1.99 s on an idle loop, and not within 5 s on a loop that is busy for 30 ms at a time. A caller can do so on purpose to hold connections.

Cause: since bytes of the turn in which a timeout expires count as in time, a wait whose time is over already succeeds whenever a byte has arrived meanwhile, and the head is read on, again and again. With the timeouts of asyncio the first such wait ended the head.

Now one such wait is allowed, so that a head that is there is still read, and the next one refuses.

--- a/packages/http/src/pulley_http/request_reads.py
+++ b/packages/http/src/pulley_http/request_reads.py
@@ -30,14 +30,18 @@
             return None
         event = next_head_event(connection)
     started_ms = server.clock.now_ms()
+    ended = False
     while event is h11.NEED_DATA:
         if len(connection.h11.trailing_data[0]) > server.limits.head_bytes:
             raise head_too_large()
         end_ms = started_ms + server.limits.head_timeout_ms
-        if not await connection.wait_for_data(end_ms - server.clock.now_ms()):
+        remaining_ms = end_ms - server.clock.now_ms()
+        if ended or not await connection.wait_for_data(remaining_ms):
             raise RequestRefused(
                 408, Reason.HEAD_TOO_SLOW, "the head took too long", step="head"
             )
+        # What has arrived by then counts, once.
+        ended = remaining_ms <= 0
         event = next_head_event(connection)
     return event if isinstance(event, h11.Request) else None
 
--- a/tests/http/stalls.feature
+++ b/tests/http/stalls.feature
@@ -38,3 +38,8 @@
   Scenario: A connection that was made while the loop was busy is used
     When a connection is made while the loop is busy past the connect timeout
     Then the connection is open
+
+  # Guards against a head that may take for ever, as each byte counts as in time.
+  Scenario: A head that arrives byte by byte past its timeout is refused
+    When a caller sends a byte of a head in each turn of the loop
+    Then its answer has the status "408"
--- a/tests/http/steps/stalls.py
+++ b/tests/http/steps/stalls.py
@@ -111,6 +111,29 @@
     context.status = asyncio.run(run())
 
 
+@when("a caller sends a byte of a head in each turn of the loop")
+def send_head_bytewise(context):
+    async def send_bytes(caller):
+        caller.send(HEAD[:10])
+        try:
+            while True:
+                caller.send(b"x")
+                await asyncio.sleep(0)
+        except OSError:
+            pass
+
+    async def run():
+        server = await start_server(echo, "127.0.0.1", 0, limits=LIMITS)
+        async with connect_raw(server) as caller:
+            sending = asyncio.create_task(send_bytes(caller))
+            status = await read_status(caller)
+            sending.cancel()
+        server.listener.close()
+        return status
+
+    context.status = asyncio.run(run())
+
+
 @then('its answer has the status "{status}"')
 def check_status(context, status):
     assert context.status == status, context.status
