Test the last look at a connection that a drain closes

A connection that a drain wakes looks at its socket once more before it closes. Without that look (in has_unread) a request that arrives in the very turn in which the drain begins gets no answer.

--- a/tests/http/drains.feature
+++ b/tests/http/drains.feature
@@ -9,3 +9,8 @@
   Scenario: A request that has arrived unread when a drain begins is answered
     When a drain begins before a request that has arrived is read
     Then its answer has the status "200"
+
+  # Guards against a close by a task that does not look at the socket once more.
+  Scenario: A request that arrives in the turn in which a drain begins is answered
+    When a drain begins just before a request arrives
+    Then its answer has the status "200"
--- a/tests/http/steps/drains.py
+++ b/tests/http/steps/drains.py
@@ -62,3 +62,18 @@
         server.listener.close()
 
     asyncio.run(run())
+
+
+@when("a drain begins just before a request arrives")
+def drain_before_arrival(context):
+    async def run():
+        server = await start_server(answer_empty, "127.0.0.1", 0)
+        async with connect_raw(server) as caller:
+            await asyncio.sleep(PAUSE_S)
+            drain = asyncio.create_task(drain_server(server, DRAIN_TIMEOUT_MS))
+            # In the same turn, before the connection's task resumes.
+            asyncio.get_running_loop().call_soon(caller.send, REQUEST)
+            context.status = await read_status(caller)
+        await drain
+
+    asyncio.run(run())
