Give requests in a drain the time for which the server was busy

What callers saw: a connection that closes with no answer at the end of a drain, though what their request waited for was there before it.

Cause: the drain of the HTTP server ended by a timer of asyncio. If the loop was busy past the end it aborted the connections one turn after it was free again, before handlers had taken the turns that they need.

Now the wait uses time_limit: a drain that notices its end late goes on for as long again as the loop was late, at most its own timeout once more.

Before: status "none" in the new scenario (loop blocked from 0.2 to 0.5 s, end at 0.3 s); after: 200.

--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from pulley_base import Clock, to_seconds
+from pulley_base import Clock, time_limit
 
 from .models import Limits, Request, Response
 from .problems import RequestRefused, format_whole_seconds
@@ -90,6 +90,9 @@
     closed = [connection.closed for connection in server.connections]
     if not closed:
         return 0
-    _done, unclosed = await asyncio.wait(closed, timeout=to_seconds(timeout_ms))
-    abort_connections(server)
-    return len(unclosed)
+    try:
+        async with time_limit(timeout_ms):
+            await asyncio.wait(closed)
+    except TimeoutError:
+        abort_connections(server)
+    return sum(not one.done() for one in closed)
--- a/tests/http/drains.feature
+++ b/tests/http/drains.feature
@@ -14,3 +14,8 @@
   Scenario: A request that arrives in the turn in which a drain begins is answered
     When a drain begins just before a request arrives
     Then its answer has the status "200"
+
+  # Guards against a request that is cut because the loop was busy at the end of the drain.
+  Scenario: A request that is nearly answered while the loop is busy past the drain is answered
+    When a request's handler goes on while the loop is busy past the end of a drain
+    Then its answer has the status "200"
--- a/tests/http/steps/drains.py
+++ b/tests/http/steps/drains.py
@@ -3,13 +3,19 @@
 import asyncio
 
 from behave import when
-from raw_callers import connect_raw, read_status
+from raw_callers import block_loop, connect_raw, read_status
 
 from pulley_http import Response, start_server
 from pulley_http.servers import drain_server
 
 DRAIN_TIMEOUT_MS = 2_000
 PAUSE_S = 0.05
+SHORT_DRAIN_MS = 300
+# The block begins before the end of the short drain and ends after it.
+BLOCK_START_S = 0.2
+BLOCK_MS = 300
+# Turns of the loop that a handler takes for an answer that is there.
+N_TURNS = 5
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 
 
@@ -77,3 +83,28 @@
         await drain
 
     asyncio.run(run())
+
+
+@when("a request's handler goes on while the loop is busy past the end of a drain")
+def handle_past_drain(context):
+    async def run():
+        released = asyncio.Event()
+
+        async def answer_released(request):
+            await released.wait()
+            for _ in range(N_TURNS):
+                await asyncio.sleep(0)
+            return Response(200)
+
+        server = await start_server(answer_released, "127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        async with connect_raw(server) as caller:
+            caller.send(REQUEST)
+            await asyncio.sleep(PAUSE_S)
+            loop.call_later(BLOCK_START_S, released.set)
+            loop.call_later(BLOCK_START_S, block_loop, BLOCK_MS, caller, b"")
+            drain = asyncio.create_task(drain_server(server, SHORT_DRAIN_MS))
+            context.status = await read_status(caller)
+            await drain
+
+    asyncio.run(run())
