Count an endpoint's silence once per request

What was seen: one request at a silent, unreachable endpoint counts as five to six failures of it in 1.8 s if one of its parts is quarantined meanwhile, and puts it into a backoff that doubles each time (3.8 s left after the fifth).

Cause: the wait asks another endpoint, which is refused at once because of the quarantine, so that the retry stays reserved and the wait asks again after 250 ms more; each time the same silence is recorded as a failed attempt.

Now a silence counts only if the endpoint has no failed attempt of this request yet, as was already so at the deadline.

Before: n_failures 5 in the new scenario, one is allowed; after: 1.

--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/outcomes.py
@@ -42,11 +42,12 @@
     """Check whether a failure shows that the endpoint itself is faulty.
 
     A full endpoint is not faulty, and a short deadline says little. A silence that
-    has already counted does not count again at the deadline.
+    has already counted does not count again, nor at the deadline.
     """
+    silent = reason in (Reason.STALLED, Reason.DEADLINE)
+    if silent and endpoint.name in job.excluded:
+        return False
     if reason is Reason.DEADLINE:
-        if endpoint.name in job.excluded:
-            return False
         return router.clock.now_ms() - job.arrived_ms >= MIN_SILENCE_MS
     return reason not in (Reason.ENDPOINT_BUSY, Reason.WRONG_ENDPOINT)
 
--- a/tests/direct/other_attempts.feature
+++ b/tests/direct/other_attempts.feature
@@ -126,3 +126,10 @@
     And the other endpoint's connection is closed at once
     And nothing is in flight
     And the first endpoint's crash is held against what was known when it was asked
+
+  # Guards against one silence that counts as a failure every 250 ms.
+  Scenario: A silent endpoint has failed once though no other one can be asked
+    When a part of a stream is quarantined while its endpoint is silent
+    Then the caller is told 504, deadline
+    And the first endpoint has one bad outcome, and one failure
+    And nothing is in flight
--- a/tests/direct/steps/other_attempts.py
+++ b/tests/direct/steps/other_attempts.py
@@ -54,6 +54,7 @@
 
 PART_KEY = "model/part/aa"
 EARLIER = LostRequest("earlier", (Suspect(PART_KEY, 1), Suspect("another request", 1)))
+LATER = LostRequest("later", (Suspect(PART_KEY, 2), Suspect("a third request", 1)))
 
 
 @dataclass(slots=True)
@@ -290,6 +291,20 @@
     asyncio.run(run())
 
 
+@when("a part of a stream is quarantined while its endpoint is silent")
+def quarantine_while_silent(context):
+    async def run():
+        async with start_first("stream") as pair:
+            router = pair.fixture.router
+            evidence = router.fleet_view.crash_log.evidence
+            for lost in (EARLIER, LATER):
+                assert add_report(evidence, lost, router.clock.now_ms())
+            await read_state(context, pair)
+            assert not pair.second.asked.is_set()
+
+    asyncio.run(run())
+
+
 @then("the caller gets the {which} endpoint's whole answer")
 def check_answer(context, which):
     answer = context.answer
