Test that a stream that goes on is not continued elsewhere as well

No scenario of other_attempts or takeovers failed without the call that stops the other attempt once the first endpoint of a silent stream goes on (keep_endpoint). If the other endpoint answers after that, the caller gets an event twice: event 2 in the new scenario without the call.

--- a/tests/direct/other_attempts.feature
+++ b/tests/direct/other_attempts.feature
@@ -133,3 +133,9 @@
     Then the caller is told 504, deadline
     And the first endpoint has one bad outcome, and one failure
     And nothing is in flight
+
+  # Guards against events that the caller gets twice.
+  Scenario: A stream that goes on is not continued by the other endpoint as well
+    When a silent stream goes on and another endpoint answers it too late
+    Then the caller gets each event once
+    And the other endpoint's connection is closed at once
--- a/tests/direct/steps/other_attempts.py
+++ b/tests/direct/steps/other_attempts.py
@@ -30,6 +30,7 @@
 # Longer than the silence after which another endpoint is asked.
 SILENCE_S = 0.6
 FIRST_BODY = b"id: 1\ndata: first\n\n"
+NEXT_EVENT = b"id: 2\ndata: next\n\n"
 SECOND_BODY = b"id: 1\ndata: second\n\n"
 HEAD = answer_head(f"content-length: {len(FIRST_BODY)}\r\n")
 N_SENT_EARLY = 8
@@ -305,6 +306,25 @@
     asyncio.run(run())
 
 
+@when("a silent stream goes on and another endpoint answers it too late")
+def go_on_at_first(context):
+    async def run():
+        size = 2 * len(FIRST_BODY + NEXT_EVENT)
+        opening = answer_head(f"content-length: {size}\r\n") + FIRST_BODY
+        async with start_pair("stream", opening) as pair:
+            release(pair.first, NEXT_EVENT)
+            context.left = await wait_until_left(pair.second)
+            release(pair.second, whole_answer(NEXT_EVENT))
+            await read_state(context, pair)
+
+    asyncio.run(run())
+
+
+@then("the caller gets each event once")
+def check_events(context):
+    assert context.answer.body == FIRST_BODY + NEXT_EVENT, context.answer
+
+
 @then("the caller gets the {which} endpoint's whole answer")
 def check_answer(context, which):
     answer = context.answer
