Share a router's newest crash reports before those it keeps for others

Once many keys are quarantined, a router that keeps their reports does not tell the others of a crash that it sees itself. They go on to send what crashed its endpoint.

The kept reports came first, and took all 48 places of the entry: 40 requests with three bare reports each are 120. With three routers or fewer each one keeps the reports of every key.

The 24 newest own reports now come first, then the kept ones, then the other own ones.

The new scenario in tests/direct/crash_reports.feature failed before, with "not among 48 reports", and passes.

--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -32,6 +32,8 @@
 # Reports that follow each other are written together.
 MIN_WRITE_INTERVAL_MS = 100
 RETRY_DELAY_MS = 500
+# These own reports come before those that are kept for other routers.
+MAX_FIRST_REPORTS = 24
 NOT_FOUND_STATUS = 404
 
 
@@ -91,21 +93,32 @@
 
 
 def list_shared(router: Router) -> tuple[LostRequest, ...]:
-    """Return the reports that this router shares: those it keeps, and its own."""
+    """Return the reports that this router shares: its own, and those it keeps.
+
+    Its newest own ones come first, as other routers may not know them yet.
+    """
     crash_log = router.fleet_view.crash_log
     evidence = crash_log.evidence
     now_ms = router.clock.now_ms()
     place = find_place(router.settings.instance, router.fleet_view.routers)
     kept = list_kept(evidence, place, now_ms)
-    own = (*reversed(crash_log.own_lost), *reversed(crash_log.own_bare))
-    own = [lost for lost in own if lost.id in evidence.reports]
-    newest = {lost.id: lost for lost in (*kept, *own)}
+    own = list_own(crash_log)
+    ranked = (*own[:MAX_FIRST_REPORTS], *kept, *own[MAX_FIRST_REPORTS:])
+    shared = {lost.id: lost for lost in ranked}
     return tuple(
         describe_report(evidence, lost, now_ms)
-        for lost in islice(newest.values(), MAX_OWN_REPORTS + MAX_OWN_BARE_REPORTS)
+        for lost in islice(shared.values(), MAX_OWN_REPORTS + MAX_OWN_BARE_REPORTS)
     )
 
 
+def list_own(crash_log: CrashLog) -> list[LostRequest]:
+    """Return the router's own reports that hold, the newest first."""
+    held = crash_log.evidence.reports
+    own = (*reversed(crash_log.own_lost), *reversed(crash_log.own_bare))
+    holding = (lost for lost in own if lost.id in held)
+    return sorted(holding, key=lambda lost: held[lost.id].lost_ms, reverse=True)
+
+
 def describe_report(evidence: Evidence, lost: LostRequest, now_ms: int) -> LostRequest:
     """Return a report with its age, as routers share no clock, and uncleared parts."""
     *parts, request = lost.suspects
--- a/tests/direct/crash_reports.feature
+++ b/tests/direct/crash_reports.feature
@@ -22,3 +22,10 @@
     Given a router that has read reports that quarantine a part
     When its publishing goes on for a while, and then the part is cleared
     Then a router that starts on its entry refuses nothing
+
+  # Guards against new crashes that stay unknown to other routers, as what is kept for
+  # others takes all places.
+  Scenario: A router keeps the reports of many quarantined requests
+    Given a router that has read reports that quarantine 40 requests
+    When it loses a request in a crash, and its publishing goes on for a while
+    Then that loss is in its entry, and at most 48 reports in all
--- a/tests/direct/steps/crash_reports.py
+++ b/tests/direct/steps/crash_reports.py
@@ -162,3 +162,29 @@
     crash_log = CrashLog()
     apply_reports(crash_log, context.entry, START_MS)
     return crash_log
+
+
+@given("a router that has read reports that quarantine {n:d} requests")
+def make_busy_keeper(context, n):
+    make_store(context)
+    lost = tuple(
+        LostRequest(f"crash-{number}-{depth}", (Suspect(f"lookup-{number}", depth),))
+        for number in range(n)
+        for depth in (1, 2, 3)
+    )
+    crash_log = context.router.fleet_view.crash_log
+    apply_reports(crash_log, CrashReports("router-2", lost, ()), store_time())
+    assert len(list_quarantined(crash_log.evidence, store_time())) == n
+
+
+@when("it loses a request in a crash, and its publishing goes on for a while")
+def lose_and_publish(context):
+    crash_log = context.router.fleet_view.crash_log
+    publish_until(context, lambda: record_own_loss(crash_log, LOST, store_time()))
+
+
+@then("that loss is in its entry, and at most {most:d} reports in all")
+def check_own(context, most):
+    lost = context.entry.lost
+    assert len(lost) <= most, len(lost)
+    assert LOST in lost, f"not among {len(lost)} reports"
