Tell routers that start which requests were lost as their answer began

A router that starts sent a request that the others refuse: two more endpoints crash.

Two losses of a prompt after the head of its answer quarantine the whole request. A router that shares these reports leaves out parts that are cleared. Without any part left, the reports look like bare ones, of which three or four are needed.

Such a report now says that its parts are cleared, and is not bare.

The new scenario in tests/direct/crash_reports.feature failed before: the router that starts had an empty list of quarantined keys.

--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -124,7 +124,12 @@
     *parts, request = lost.suspects
     parts = [one for one in parts if lost.crash in evidence.depths.get(one.key, ())]
     age_ms = now_ms - evidence.reports[lost.id].lost_ms
-    return replace(lost, suspects=(*parts, request), age_ms=age_ms)
+    return replace(
+        lost,
+        suspects=(*parts, request),
+        age_ms=age_ms,
+        parts_cleared=not parts and not lost.bare,
+    )
 
 
 def drop_expired(crash_log: CrashLog, now_ms: int) -> None:
--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -60,13 +60,15 @@
 
     ``suspects`` are its prompt's shared parts, the widest first, and last, in any case,
     the key of the request itself. ``team`` sent it. ``age_ms`` is how long its reporter
-    had known it when it was shared.
+    had known it when it was shared. ``parts_cleared`` is set if its reporter left out
+    all of its parts, as they were cleared.
     """
 
     crash: str
     suspects: tuple[Suspect, ...]
     team: str = ""
     age_ms: int = 0
+    parts_cleared: bool = False
 
     @property
     def id(self) -> tuple[str, str]:
@@ -80,8 +82,8 @@
 
     @property
     def bare(self) -> bool:
-        """Return whether the report names the key of the request alone."""
-        return len(self.suspects) == 1
+        """Return whether the report never named more than the request's own key."""
+        return len(self.suspects) == 1 and not self.parts_cleared
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapter/steps/crash_documents.py
+++ b/tests/adapter/steps/crash_documents.py
@@ -31,6 +31,7 @@
             age_ms=70_000,
         ),
         LostRequest("b/2", (Suspect("model/request/00", 2),)),
+        LostRequest("c/3", (Suspect("model/request/01", 2),), parts_cleared=True),
     ),
     (Clearance("model/part/aa", ("a/1", "b/2")),),
 )
--- a/tests/direct/crash_reports.feature
+++ b/tests/direct/crash_reports.feature
@@ -29,3 +29,10 @@
     Given a router that has read reports that quarantine 40 requests
     When it loses a request in a crash, and its publishing goes on for a while
     Then that loss is in its entry, and at most 48 reports in all
+
+  # Guards against a whole request that crashed two endpoints as it was answered, and
+  # crashes two more at a router that starts, as its prompt's parts were cleared.
+  Scenario: The request is to blame, and its parts are cleared
+    Given a router that has read two reports of one prompt, whose part is cleared
+    When its publishing goes on for a while
+    Then a router that starts on its entry refuses that request
--- a/tests/direct/steps/crash_reports.py
+++ b/tests/direct/steps/crash_reports.py
@@ -188,3 +188,22 @@
     lost = context.entry.lost
     assert len(lost) <= most, len(lost)
     assert LOST in lost, f"not among {len(lost)} reports"
+
+
+@given("a router that has read two reports of one prompt, whose part is cleared")
+def make_keeper_of_request(context):
+    make_store(context)
+    lost = tuple(
+        LostRequest(crash, (Suspect(PART, depth), Suspect("request-1", depth)))
+        for depth, crash in enumerate(("one", "two"), 1)
+    )
+    cleared = (Clearance(PART, ("one", "two")),)
+    crash_log = context.router.fleet_view.crash_log
+    apply_reports(crash_log, CrashReports("router-2", lost, cleared), store_time())
+    assert list_quarantined(crash_log.evidence, store_time()) == ["request-1"]
+
+
+@then("a router that starts on its entry refuses that request")
+def check_request(context):
+    found = list_quarantined(start_on_entry(context).evidence, START_MS)
+    assert found == ["request-1"], found
