Hold a probe's crash against the keys that it probed, and send it once

Endpoints crash two at a time, in one turn after the other, while a quarantined part comes that now crashes them before the head of their answer.

Such a loss was held against the request alone. The part's hold did not start again, so the same request went to a second endpoint, and a probe of the next turn to two more.

A probe is known to have the quarantined key, so a crash that it is lost in counts against that key, however far its answer had got. It is not resent after a crash.

The new scenario in tests/direct/crashing_request.feature failed before, with four crashes: [0.0, 0.0, 0.54, 0.54] s. Now there is one.

--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -11,6 +11,7 @@
     blame,
     find_quarantined,
     last_key,
+    probed_keys,
     record_good,
     score_request,
 )
@@ -144,6 +145,10 @@
     if is_crash_loss(job, failure):
         loss = Loss(failure.endpoint, scores, probe, answer_began=True)
         return await report_loss(router, loss)
+    if scores.probes:
+        return await report_loss(
+            router, Loss(failure.endpoint, probed_keys(scores), probe)
+        )
     job.losses.append(Loss(failure.endpoint, last_key(scores), probe))
     return False
 
--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -181,11 +181,25 @@
 
 def last_key(scores: Scores) -> Scores:
     """Return the last of the keys alone, that of the request itself."""
+    return select_keys(scores, scores.keys[-1:])
+
+
+def probed_keys(scores: Scores) -> Scores:
+    """Return the keys that the request probed, and its own."""
+    probed = dict(scores.probes)
+    return select_keys(
+        scores, [*(key for key in scores.keys[:-1] if key in probed), scores.keys[-1]]
+    )
+
+
+def select_keys(scores: Scores, keys: Sequence[str]) -> Scores:
+    """Return the scores of some of the keys."""
+    places = [scores.keys.index(key) for key in keys]
     return replace(
         scores,
-        keys=scores.keys[-1:],
-        scores=scores.scores[-1:],
-        crashes=scores.crashes[-1:],
+        keys=tuple(keys),
+        scores=tuple(scores.scores[place] for place in places),
+        crashes=tuple(scores.crashes[place] for place in places),
     )
 
 
--- a/tests/direct/crashing_request.feature
+++ b/tests/direct/crashing_request.feature
@@ -49,3 +49,9 @@
   Scenario: Endpoints can no longer be reached
     When 20 orders are lost as their endpoints can no longer be reached
     Then no router holds a report
+
+  # Guards against probes of a part that crash endpoints turn after turn, as they are
+  # lost before the head of their answer.
+  Scenario: Probes of a quarantined part crash endpoints before their answers begin
+    When prompts with a quarantined part that now crash endpoints at once come for 3 s
+    Then endpoints crash at most 1 times
--- a/tests/direct/steps/crashing_request.py
+++ b/tests/direct/steps/crashing_request.py
@@ -19,8 +19,11 @@
 from scenes import CHAT, LOOKUP, ORDER, Answer, configuration, send_call
 
 from pulley_direct import crash_probes
+from pulley_direct.crash_log import apply_reports
+from pulley_direct.models import CrashReports
 from pulley_http import Response
-from pulley_policy.crashes import list_quarantined
+from pulley_policy import probation
+from pulley_policy.crashes import LostRequest, Suspect, list_quarantined
 
 PATHS = {"lookup": LOOKUP, "order": ORDER, "prompt": CHAT}
 PARTS = "f1:100,aa:10"
@@ -35,6 +38,14 @@
 SLOW_PROBE_MS = 800
 N_LAST = 3
 N_DIFFERENT = 20
+SHARED_PART = "f1"
+# Holds and turns in ms that fit into a scenario of some seconds.
+FAST_PROBES = {
+    "HOLDS_MS": (100, 60_000, 60_000),
+    "TURN_MS": 499,
+    "TURN_OPEN_MS": 250,
+    "OTHER_TEAMS_MS": 0,
+}
 
 
 @dataclass(slots=True)
@@ -291,3 +302,35 @@
 @then("no router holds a report")
 def check_reports(context):
     assert context.crashing.n_reports == [0] * N_ROUTERS, context.crashing.n_reports
+
+
+def quarantine_part(scene: Scene) -> None:
+    """Let every router know of two prompts that were lost with the shared part."""
+    part = f"{scene.service}/part/{SHARED_PART}"
+    lost = tuple(
+        LostRequest(f"crash-{depth}", (Suspect(part, depth), Suspect(f"r-{depth}", 1)))
+        for depth in (1, 2)
+    )
+    for running in scene.routers:
+        router = running.router
+        entry = CrashReports("another", lost, ())
+        crash_log = router.fleet_view.crash_log
+        apply_reports(crash_log, entry, router.clock.now_ms())
+        assert list_quarantined(crash_log.evidence, router.clock.now_ms()) == [part]
+
+
+@when(
+    "prompts with a quarantined part that now crash endpoints at once come for {s:d} s"
+)
+def send_probes(context, s):
+    async def play(scene):
+        quarantine_part(scene)
+        async with asyncio.TaskGroup() as group:
+            for number in range(int(s / PAUSE_IN_BURST_S)):
+                body = b'{"id": %d}' % number
+                group.create_task(send(scene, CHAT, DEADLY, body))
+                await asyncio.sleep(PAUSE_IN_BURST_S)
+
+    with patch.multiple(probation, **FAST_PROBES):
+        context.crashing = asyncio.run(run_scene(play))
+    assert context.crashing.crashes_s, "no probe was sent"
