Count a request's latest good answer, not the one that was noted first

A popular lookup is refused after three or four crashes, though it was answered just before the first of them and all routers may hold it sound.

The time of a request's last good answer was taken over only if the evidence had none for its key. One that was noted ten minutes ago, as a crash was cleared, hid all later ones.

The later one of both times counts now.

The new scenario in tests/direct/crash_log.feature failed before, with ['model/request/00'] quarantined, and passes.

--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -88,7 +88,8 @@
     """Take a request's last good answer, before its first crash, as one of its key."""
     sound_ms = crash_log.sound_requests.get(request)
     if sound_ms is not None:
-        crash_log.evidence.sound_ms.setdefault(key, sound_ms)
+        known = crash_log.evidence.sound_ms
+        known[key] = max(sound_ms, known.get(key, sound_ms))
 
 
 def record_own_clearance(
--- a/tests/direct/crash_log.feature
+++ b/tests/direct/crash_log.feature
@@ -25,3 +25,10 @@
     Given a router that lost two prompts with one part and a request at depth 2
     When it loses 1000 other requests
     Then it still shares these 3 reports, and at most 48 in all
+
+  # Guards against a popular request that counts as unproven, as an answer to it was
+  # recorded long ago.
+  Scenario: A request has good answers for long, and then is lost
+    Given a request that was cleared of a crash 600 s ago
+    When it has a good answer, and is lost in 4 crashes, one after the other
+    Then that request is not quarantined
--- a/tests/direct/steps/crash_log.py
+++ b/tests/direct/steps/crash_log.py
@@ -5,11 +5,25 @@
 from behave import given, then, when
 
 from pulley_direct import crash_log
-from pulley_direct.crash_log import CrashLog, apply_reports, record_own_loss
+from pulley_direct.crash_log import (
+    CrashLog,
+    apply_reports,
+    note_if_sound,
+    record_own_loss,
+    record_sound_request,
+)
 from pulley_direct.models import CrashReports
-from pulley_policy.crashes import LostRequest, Suspect, list_quarantined
+from pulley_policy.crashes import (
+    LostRequest,
+    Suspect,
+    list_quarantined,
+    record_good,
+    score_request,
+)
 
 PART = "model/part/dead"
+REQUEST = "model/request/00"
+HASH = 1
 
 
 def lose(crash, part, request, depth):
@@ -89,3 +103,25 @@
     shared = context.log.own_lost + context.log.own_bare
     assert len(context.first) == n and len(shared) <= most, len(shared)
     assert all(lost in shared for lost in context.first), shared
+
+
+@given("a request that was cleared of a crash {s:d} s ago")
+def clear_request(context, s):
+    context.log, context.now_ms = CrashLog(), s * 1_000
+    record_own_loss(context.log, LostRequest("first", (Suspect(REQUEST, 1),)), 0)
+    evidence = context.log.evidence
+    assert record_good(evidence, score_request(evidence, (REQUEST,)), 0)
+
+
+@when("it has a good answer, and is lost in {n:d} crashes, one after the other")
+def answer_and_lose(context, n):
+    record_sound_request(context.log, HASH, context.now_ms)
+    for depth in range(1, n + 1):
+        lost = LostRequest(f"crash-{depth}", (Suspect(REQUEST, depth),))
+        record_own_loss(context.log, lost, context.now_ms)
+        note_if_sound(context.log, REQUEST, HASH)
+
+
+@then("that request is not quarantined")
+def check_sound(context):
+    check_released(context)
