Clear a request that an endpoint answers with an error of the caller's

Only an answer below 300 cleared a request's own key. One that is always answered with 404 was lost in one crash after the other with no good answer between, and none of its probes could end the quarantine.

A whole answer of 3xx or 4xx to a request that is no prompt clears the request's own key now, but for 401, 403, 408, 425 and 429, which may come before the request is looked at.

The new scenario in tests/direct/crashing_request.feature failed before: the lookup was answered with [404, 404, 503, 503]. Now all four are 404.

--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -35,6 +35,9 @@
 FIRST_NON_SUCCESS_STATUS = 300
 MISDIRECTED_STATUS = 421
 FIRST_SERVER_ERROR_STATUS = 500
+# Unauthorized, forbidden, timeout, too early, too many requests: the request itself may
+# not have been looked at.
+UNREAD_STATUSES = frozenset({401, 403, 408, 425, 429})
 
 
 async def dispatch(router: Router, job: Job) -> Response:
@@ -46,13 +49,26 @@
     job.elsewhere = Elsewhere(partial(answer_elsewhere, router), discard_response)
     try:
         response = await find_answer(router, job)
-        if response.status < FIRST_NON_SUCCESS_STATUS:
+        if is_good_answer(job, response.status):
             record_success_of_job(router, job)
         return response
     finally:
         report_after_end(router, job)
 
 
+def is_good_answer(job: Job, status: int) -> bool:
+    """Check whether an answer shows that its request crashes no endpoint.
+
+    An error of the caller's does too, such as 404, but for a prompt's: that may
+    have been found before the prompt was read.
+    """
+    if status < FIRST_NON_SUCCESS_STATUS:
+        return True
+    if job.route.retry_class is RetryClass.STREAM:
+        return False
+    return status < FIRST_SERVER_ERROR_STATUS and status not in UNREAD_STATUSES
+
+
 def record_success_of_job(router: Router, job: Job) -> None:
     """Drop what a job has lost; a stream clears its keys only as it goes on."""
     job.losses.clear()
--- a/tests/direct/crashing_request.feature
+++ b/tests/direct/crashing_request.feature
@@ -55,3 +55,9 @@
   Scenario: Probes of a quarantined part crash endpoints before their answers begin
     When prompts with a quarantined part that now crash endpoints at once come for 3 s
     Then endpoints crash at most 1 times
+
+  # Guards against a sound request refused for two days, as no probe of it can be good.
+  Scenario: A lookup of something missing is lost in crashes, and answered between
+    When a lookup that is answered with 404 is lost in 4 crashes that it did not cause
+    Then the lookup is answered with 404
+    And no key is quarantined at any router
--- a/tests/direct/steps/crashing_request.py
+++ b/tests/direct/steps/crashing_request.py
@@ -29,6 +29,7 @@
 PARTS = "f1:100,aa:10"
 DEADLY = "deadly"
 POPULAR = "popular"
+MISSING = "missing"
 MARGIN_S = 1.0
 SETTLED_S = 0.8
 SLOW_ANSWER_S = 0.2
@@ -72,6 +73,8 @@
         crash_host(scene, host)
         await asyncio.sleep(1.0)
     await asyncio.sleep(scene.slow_s)
+    if header_text(request, b"x-name") == MISSING:
+        return Response(404, [], b"{}")
     return await answer_request(host.endpoint, request)
 
 
@@ -334,3 +337,28 @@
     with patch.multiple(probation, **FAST_PROBES):
         context.crashing = asyncio.run(run_scene(play))
     assert context.crashing.crashes_s, "no probe was sent"
+
+
+@when(
+    "a lookup that is answered with 404 is lost in {n:d} crashes that it did not cause"
+)
+def lose_missing(context, n):
+    async def play(scene):
+        for _ in range(n):
+            scene.slow_s = SLOW_ANSWER_S
+            task = asyncio.create_task(send(scene, LOOKUP, MISSING, b"{}"))
+            await asyncio.sleep(SLOW_ANSWER_S / 2)
+            for host in scene.hosts:
+                crash_host(scene, host)
+            await task
+            await asyncio.sleep(SETTLED_S)
+            scene.slow_s = 0
+            scene.answers.append(await send(scene, LOOKUP, MISSING, b"{}"))
+
+    context.crashing = asyncio.run(run_scene(play))
+
+
+@then("the lookup is answered with 404")
+def check_missing(context):
+    found = [answer.status for answer in context.crashing.answers]
+    assert found == [404] * len(found), found
