List a request that routers which start refuse, though it was cleared

A request that was lost twice as its answer began, and then had a good answer, is refused by a router that starts while a part of it is quarantined. Kept reports always name the request itself, and its clearance is kept by nobody.

--- a/tests/direct/crash_reports.feature
+++ b/tests/direct/crash_reports.feature
@@ -36,3 +36,10 @@
     Given a router that has read two reports of one prompt, whose part is cleared
     When its publishing goes on for a while
     Then a router that starts on its entry refuses that request
+
+  # Guards against a sound request that a router which starts refuses, though it was
+  # cleared, as its reports are kept for the part's sake.
+  Scenario: The part is to blame, and a request that was lost with it is cleared
+    Given a router that has read reports of a part, one request of which is cleared
+    When its publishing goes on for a while
+    Then a router that starts on its entry refuses the part with the same hold
--- a/tests/direct/steps/crash_reports.py
+++ b/tests/direct/steps/crash_reports.py
@@ -145,7 +145,8 @@
 @then("a router that starts on its entry refuses the part with the same hold")
 def check_started(context):
     evidence = start_on_entry(context).evidence
-    assert list_quarantined(evidence, START_MS) == [PART]
+    found = list_quarantined(evidence, START_MS)
+    assert found == [PART], found
     kept = context.router.fleet_view.crash_log.evidence
     expected = quarantine_left_ms(kept, PART, store_time())
     assert quarantine_left_ms(evidence, PART, START_MS) == expected > 0
@@ -207,3 +208,18 @@
 def check_request(context):
     found = list_quarantined(start_on_entry(context).evidence, START_MS)
     assert found == ["request-1"], found
+
+
+@given("a router that has read reports of a part, one request of which is cleared")
+def make_keeper_of_cleared(context):
+    make_store(context)
+    lost = [
+        LostRequest(crash, (Suspect(PART, depth), Suspect("request-1", depth)))
+        for depth, crash in enumerate(("one", "two"), 1)
+    ]
+    lost.append(LostRequest("three", (Suspect(PART, 3), Suspect("request-2", 1))))
+    cleared = (Clearance("request-1", ("one", "two")),)
+    entry = CrashReports("router-2", tuple(lost), cleared)
+    crash_log = context.router.fleet_view.crash_log
+    apply_reports(crash_log, entry, store_time())
+    assert list_quarantined(crash_log.evidence, store_time()) == [PART]
