--- a/packages/policy/src/pulley_policy/crashes.py
+++ b/packages/policy/src/pulley_policy/crashes.py
@@ -60,13 +60,15 @@
 
     ``suspects`` are its prompt's shared parts, the widest first, and last, in any case,
     the key of the request itself. ``team`` sent it. ``age_ms`` is how long its reporter
-    had known it when it was shared.
+    had known it when it was shared. ``parts_cleared`` is set if its reporter left out
+    all of its parts, as they were cleared.
     """
 
     crash: str
     suspects: tuple[Suspect, ...]
     team: str = ""
     age_ms: int = 0
+    parts_cleared: bool = False
 
     @property
     def id(self) -> tuple[str, str]:
@@ -80,8 +82,8 @@
 
     @property
     def bare(self) -> bool:
-        """Return whether the report names the key of the request alone."""
-        return len(self.suspects) == 1
+        """Return whether the report never named more than the request's own key."""
+        return len(self.suspects) == 1 and not self.parts_cleared
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,11 +181,25 @@
 
 def last_key(scores: Scores) -> Scores:
     """Return the last of the keys alone, that of the request itself."""
+    return select_keys(scores, scores.keys[-1:])
+
+
+def probed_keys(scores: Scores) -> Scores:
+    """Return the keys that the request probed, and its own."""
+    probed = dict(scores.probes)
+    return select_keys(
+        scores, [*(key for key in scores.keys[:-1] if key in probed), scores.keys[-1]]
+    )
+
+
+def select_keys(scores: Scores, keys: Sequence[str]) -> Scores:
+    """Return the scores of some of the keys."""
+    places = [scores.keys.index(key) for key in keys]
     return replace(
         scores,
-        keys=scores.keys[-1:],
-        scores=scores.scores[-1:],
-        crashes=scores.crashes[-1:],
+        keys=tuple(keys),
+        scores=tuple(scores.scores[place] for place in places),
+        crashes=tuple(scores.crashes[place] for place in places),
     )
 
 
--- a/tests/direct/steps/crash_reports.py
+++ b/tests/direct/steps/crash_reports.py
@@ -145,7 +145,8 @@
 @then("a router that starts on its entry refuses the part with the same hold")
 def check_started(context):
     evidence = start_on_entry(context).evidence
-    assert list_quarantined(evidence, START_MS) == [PART]
+    found = list_quarantined(evidence, START_MS)
+    assert found == [PART], found
     kept = context.router.fleet_view.crash_log.evidence
     expected = quarantine_left_ms(kept, PART, store_time())
     assert quarantine_left_ms(evidence, PART, START_MS) == expected > 0
@@ -162,3 +163,63 @@
     crash_log = CrashLog()
     apply_reports(crash_log, context.entry, START_MS)
     return crash_log
+
+
+@given("a router that has read reports that quarantine {n:d} requests")
+def make_busy_keeper(context, n):
+    make_store(context)
+    lost = tuple(
+        LostRequest(f"crash-{number}-{depth}", (Suspect(f"lookup-{number}", depth),))
+        for number in range(n)
+        for depth in (1, 2, 3)
+    )
+    crash_log = context.router.fleet_view.crash_log
+    apply_reports(crash_log, CrashReports("router-2", lost, ()), store_time())
+    assert len(list_quarantined(crash_log.evidence, store_time())) == n
+
+
+@when("it loses a request in a crash, and its publishing goes on for a while")
+def lose_and_publish(context):
+    crash_log = context.router.fleet_view.crash_log
+    publish_until(context, lambda: record_own_loss(crash_log, LOST, store_time()))
+
+
+@then("that loss is in its entry, and at most {most:d} reports in all")
+def check_own(context, most):
+    lost = context.entry.lost
+    assert len(lost) <= most, len(lost)
+    assert LOST in lost, f"not among {len(lost)} reports"
+
+
+@given("a router that has read two reports of one prompt, whose part is cleared")
+def make_keeper_of_request(context):
+    make_store(context)
+    lost = tuple(
+        LostRequest(crash, (Suspect(PART, depth), Suspect("request-1", depth)))
+        for depth, crash in enumerate(("one", "two"), 1)
+    )
+    cleared = (Clearance(PART, ("one", "two")),)
+    crash_log = context.router.fleet_view.crash_log
+    apply_reports(crash_log, CrashReports("router-2", lost, cleared), store_time())
+    assert list_quarantined(crash_log.evidence, store_time()) == ["request-1"]
+
+
+@then("a router that starts on its entry refuses that request")
+def check_request(context):
+    found = list_quarantined(start_on_entry(context).evidence, START_MS)
+    assert found == ["request-1"], found
+
+
+@given("a router that has read reports of a part, one request of which is cleared")
+def make_keeper_of_cleared(context):
+    make_store(context)
+    lost = [
+        LostRequest(crash, (Suspect(PART, depth), Suspect("request-1", depth)))
+        for depth, crash in enumerate(("one", "two"), 1)
+    ]
+    lost.append(LostRequest("three", (Suspect(PART, 3), Suspect("request-2", 1))))
+    cleared = (Clearance("request-1", ("one", "two")),)
+    entry = CrashReports("router-2", tuple(lost), cleared)
+    crash_log = context.router.fleet_view.crash_log
+    apply_reports(crash_log, entry, store_time())
+    assert list_quarantined(crash_log.evidence, store_time()) == [PART]
