Log how an endpoint's answer ended: with its connection, closed or reset

Change: unframed_answer_ended and a counter for such ends; the detail of a failed attempt and of a broken stream says 'broken' with the error if the connection was reset.

--- a/packages/direct/src/pulley_direct/counters.py
+++ b/packages/direct/src/pulley_direct/counters.py
@@ -9,6 +9,8 @@
 CANCELLED = "cancelled"
 UNANSWERED = "unanswered"
 
+COMPLETE = "complete"
+
 SENT = "sent"
 RECEIVED = "received"
 DROPPED = "dropped"
@@ -30,6 +32,8 @@
 
     ``unfinished`` counts the requests without a whole answer: ``CANCELLED`` if the
     caller left before one began, ``UNANSWERED`` if the router ended the connection.
+    ``unframed_ends`` counts the answers with neither a length nor chunks whose
+    connection was closed in order: ``COMPLETE`` if they count as whole.
     ``gossip`` counts the datagrams about endpoints' loads: ``SENT`` and ``RECEIVED``
     ones, and those that were ``DROPPED`` because they are not valid.
     """
@@ -40,6 +44,7 @@
     failures: Counter = field(default_factory=Counter)
     first_byte: Histogram = field(default_factory=Histogram)
     unfinished: Counter = field(default_factory=Counter)
+    unframed_ends: Counter = field(default_factory=Counter)
     gossip: Counter = field(default_factory=Counter)
 
 
@@ -70,6 +75,7 @@
             ("plantainpulley_direct_retries", "reason", counters.retries),
             ("plantainpulley_direct_attempt_failures", "reason", counters.failures),
             ("plantainpulley_direct_unfinished", "end", counters.unfinished),
+            ("plantainpulley_direct_unframed_ends", "end", counters.unframed_ends),
             ("plantainpulley_direct_gossip", "event", counters.gossip),
         ):
             family = CounterMetricFamily(name, f"{name} by {label}", labels=[label])
--- a/packages/direct/src/pulley_direct/exchanges.py
+++ b/packages/direct/src/pulley_direct/exchanges.py
@@ -1,21 +1,25 @@
 """An answer whose head was read: its body, its end, and what becomes of its channel."""
 
 import asyncio
+import logging
 from dataclasses import dataclass
 
 import h11
 
-from pulley_base import ConnectionLost, PulleyError, Reason
+from pulley_base import ConnectionLost, PulleyError, Reason, log_event
 from pulley_http import Headers
 from pulley_http.connections import parse_event
 
 from .channels import Channel, close_channel, release_channel
+from .counters import COMPLETE
 from .jobs import AttemptFailed, Job
 from .loads import get_state
 from .models import AnswerMetadata, Endpoint
 from .routers import Router
 from .waits import AnswerTimeout, wait_for_bytes
 
+logger = logging.getLogger(__name__)
+
 # Larger than any answer that is buffered whole, and a small part of a router's
 # memory.
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -73,6 +77,8 @@
             await wait_for_bytes(exchange.router, job, exchange.endpoint, connection)
         elif isinstance(event, h11.EndOfMessage):
             exchange.finished = True
+            if not shows_its_end(exchange, job):
+                record_unframed_end(exchange, job)
             return b"".join(chunks) if chunks else None
         else:
             peer = exchange.channel.address
@@ -112,6 +118,19 @@
     return any(name.lower() in FRAMING_HEADERS for name, _value in exchange.headers)
 
 
+def record_unframed_end(exchange: Exchange, job: Job) -> None:
+    """Count and log an answer that ended with its connection, which closed in order."""
+    exchange.router.counters.unframed_ends[COMPLETE] += 1
+    log_event(
+        logger,
+        "unframed_answer_ended",
+        request=job.call.request_id,
+        endpoint=exchange.endpoint.name,
+        status=exchange.status,
+        end=COMPLETE,
+    )
+
+
 def end_exchange(exchange: Exchange) -> None:
     """Release the channel of a finished exchange, close that of an incomplete one."""
     state = get_state(exchange.router.loads, exchange.endpoint.name)
--- a/packages/http/src/pulley_http/connections.py
+++ b/packages/http/src/pulley_http/connections.py
@@ -29,7 +29,7 @@
     ``READ_AHEAD_BYTES`` of them are unread. ``ended`` is set when no more bytes
     will arrive, ``broken`` when it was not the server that closed the connection in
     order: a response that is delimited by the end of the connection is then
-    incomplete.
+    incomplete. ``error`` is what broke it, None if this side did.
     """
 
     def __init__(self, peer: str):
@@ -39,6 +39,7 @@
         self.data_waiter = None
         self.ended = False
         self.broken = False
+        self.error = None
         self.reading_paused = False
         self.n_unread_bytes = 0
         self.idle_since_ms = 0
@@ -67,6 +68,7 @@
 
     def connection_lost(self, exc):
         self.broken = self.broken or not self.ended
+        self.error = exc
         self.mark_ended()
         self.writable.set()
 
@@ -217,7 +219,7 @@
     timer expires.
     """
     if connection.ended:
-        raise ConnectionLost("closed", step=step, peer=connection.peer)
+        raise ConnectionLost(describe_end(connection), step=step, peer=connection.peer)
     connection.n_unread_bytes = 0
     if connection.reading_paused:
         connection.reading_paused = False
@@ -228,6 +230,13 @@
         raise TimedOut("the answer stalled", step=step, peer=connection.peer)
 
 
+def describe_end(connection: ClientConnection) -> str:
+    """Return how a connection ended, for errors and logs."""
+    if not connection.broken:
+        return "closed"
+    return "broken" if connection.error is None else f"broken: {connection.error}"
+
+
 async def next_event(connection: ClientConnection, step: str):
     """Return h11's next event; wait for more bytes as needed."""
     event = parse_event(connection, step)
