Check that an engine lives on after an answer that ended with its connection

An engine's answer with neither a length nor chunks counted as complete once its connection had been closed in order, which is what the kernel does for an engine that crashes. Change: the agent probes its engine after such an end, as it does before it reports a crash; the answer has failed if the engine has crashed. Client, address and probe of the engine are one argument now.

--- a/packages/agent/src/pulley_agent/engines.py
+++ b/packages/agent/src/pulley_agent/engines.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
+from dataclasses import dataclass
 
 from pulley_base import (
     ConnectionLost,
@@ -18,7 +19,9 @@
     drop_hop_by_hop_headers,
     find_header,
     send_request,
+    shows_its_end,
 )
+from pulley_http.models import BODILESS_STATUSES
 from pulley_wire.messages import Failed, Head, Header, Open
 
 from .answers import Answer, append_bytes, finish_answer, start_answer
@@ -27,14 +30,21 @@
 STALL_MS = 30_000
 CHAT_HEADER = b"pulley-chat-digest"
 COMPLETION_PATHS = ("/chat/completions", "/v1/completions")
-BODILESS_STATUSES = frozenset({204, 304})
 
 BeforeFailure = Callable[[Failed], Awaitable[None]]
 
 
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """The engine beside the agent, and how to find out whether it has crashed."""
+
+    client: Client
+    address: str
+    has_crashed: Callable[[], Awaitable[bool]]
+
+
 async def run_on_engine(
-    client: Client,
-    engine: str,
+    engine: Engine,
     opened: Open,
     body: bytes | AsyncIterator[bytes],
     answer: Answer,
@@ -42,7 +52,6 @@
     before_failure: BeforeFailure,
     stall_timeout_ms: int = STALL_MS,
     extra_headers: Headers = (),
-    head_timeout_ms: int | None = None,
 ) -> None:
     """Send the request to the engine and hold its answer as it arrives.
 
@@ -50,8 +59,7 @@
     there was no connection to the engine, so that nothing was sent. Any other error
     becomes the answer's failure, after ``before_failure`` has been called with it. An
     engine that sends nothing for ``stall_timeout_ms`` in the middle of an answer has
-    failed. ``extra_headers`` are sent with the request. ``head_timeout_ms`` is meant to
-    limit the time until the answer begins, but it is currently not applied.
+    failed. ``extra_headers`` are sent with the request.
     """
     if isinstance(body, bytes) and opened.target.partition("?")[0].endswith(
         COMPLETION_PATHS
@@ -59,8 +67,8 @@
         body = set_priority(body, opened.priority or 0)
     try:
         response = await send_request(
-            client,
-            engine,
+            engine.client,
+            engine.address,
             opened.method,
             opened.target,
             headers=[*engine_headers(opened), *extra_headers],
@@ -72,11 +80,28 @@
             async for piece in pieces:
                 on_piece(piece)
                 await append_bytes(answer, piece)
+        await check_end(engine, opened, response)
         finish_answer(answer)
     except PulleyError as error:
         await fail_answer(opened, answer, error, before_failure)
 
 
+async def check_end(engine: Engine, opened: Open, response: Response) -> None:
+    """Check that the engine lives on after an answer that ended with its connection.
+
+    The connections of an engine that crashes end in the same way. Raises ConnectionLost
+    if it has crashed.
+    """
+    if shows_its_end(opened.method, response.status, response.headers):
+        return
+    if await engine.has_crashed():
+        raise ConnectionLost(
+            "closed without its end, and the engine has crashed",
+            step="body",
+            peer=engine.address,
+        )
+
+
 def engine_headers(opened: Open) -> Headers:
     """Return the headers for the engine, including the digest of the chat."""
     headers = [(header.name, header.value) for header in opened.headers or ()]
--- a/packages/agent/src/pulley_agent/pauses.py
+++ b/packages/agent/src/pulley_agent/pauses.py
@@ -14,7 +14,7 @@
 from dataclasses import replace
 
 from pulley_base import ProtocolError, PulleyError, Sentinel, log_event
-from pulley_http import Client, RequestRefused, Response, send_request
+from pulley_http import RequestRefused, Response, send_request
 from pulley_policy.admission import BATCH_PRIORITY, MAX_HOPS
 from pulley_wire.messages import Open
 
@@ -24,6 +24,8 @@
 from .engines import (
     STALL_MS,
     BeforeFailure,
+    Engine,
+    check_end,
     engine_headers,
     fail_answer,
     make_answer_head,
@@ -72,8 +74,7 @@
 
 
 async def run_pausable(
-    client: Client,
-    engine: str,
+    engine: Engine,
     opened: Open,
     grant: Grant,
     answer: Answer,
@@ -88,15 +89,14 @@
     admission, key = grant.admission, grant.item.key
     admission.pausable[key] = grant
     try:
-        while await run_part(client, engine, opened, grant, answer, before_failure):
+        while await run_part(engine, opened, grant, answer, before_failure):
             await wait_to_resume(grant)
     finally:
         del admission.pausable[key]
 
 
 async def run_part(
-    client: Client,
-    engine: str,
+    engine: Engine,
     opened: Open,
     grant: Grant,
     answer: Answer,
@@ -110,8 +110,8 @@
     partial.n_tokens_before = partial.n_tokens
     try:
         response = await send_request(
-            client,
-            engine,
+            engine.client,
+            engine.address,
             opened.method,
             opened.target,
             headers=engine_headers(opened),
@@ -122,6 +122,7 @@
             start_answer(answer, make_answer_head(opened, response))
         if not await copy_events_until_pause(response, grant, answer):
             return True
+        await check_end(engine, opened, response)
         finish_answer(answer)
     except PulleyError as error:
         await fail_answer(opened, answer, error, before_failure)
--- a/packages/agent/src/pulley_agent/runs.py
+++ b/packages/agent/src/pulley_agent/runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from functools import partial
 
 from pulley_base import Reason, log_event
 from pulley_fleet.counters import REFUSALS
@@ -25,13 +26,12 @@
 )
 from .counters import REDIRECTS
 from .crashes import has_crashed, refuse_quarantined, report_crash, run_suspect_alone
-from .engines import run_on_engine
+from .engines import Engine, run_on_engine
 from .fencing import acquire_number, fencing_headers, needs_fencing_number
 from .partial_completions import parse_pausable
 from .pauses import run_pausable
 from .routes import Sessions, end_route, hold_finished_answer, remove_attempt
 
-MIN_HEAD_TIMEOUT_MS = 1_000
 FINAL_REASONS = frozenset({Reason.KEY_REUSED, Reason.QUARANTINED, Reason.STORE_DOWN})
 
 logger = logging.getLogger(__name__)
@@ -101,32 +101,25 @@
             each.connection.send(Frame(admitted=admitted))
     grant.partial = None if fenced else parse_pausable(opened)
 
+    engine = Engine(
+        sessions.client, sessions.engine, partial(has_crashed, sessions.crash_watch)
+    )
+
     async def before_failure(failure: Failed) -> None:
         await report_if_crashed(sessions, attempt, failure)
 
     try:
         if grant.partial is not None:
-            await run_pausable(
-                sessions.client,
-                sessions.engine,
-                opened,
-                grant,
-                attempt.answer,
-                before_failure,
-            )
+            await run_pausable(engine, opened, grant, attempt.answer, before_failure)
             return
         await run_on_engine(
-            sessions.client,
-            sessions.engine,
+            engine,
             opened,
             body,
             attempt.answer,
             lambda piece: record_progress(grant, piece),
             before_failure,
             extra_headers=fencing_headers(sessions.fencing) if fenced else [],
-            head_timeout_ms=max(
-                MIN_HEAD_TIMEOUT_MS, attempt.deadline_ms - sessions.clock.now_ms()
-            ),
         )
     except RequestRefused:
         attempt.ran = False
--- a/packages/direct/src/pulley_direct/bodies.py
+++ b/packages/direct/src/pulley_direct/bodies.py
@@ -7,8 +7,8 @@
     MAX_BODY_BYTES,
     Exchange,
     attempt_failure,
+    is_framed,
     read_chunk,
-    shows_its_end,
 )
 from .jobs import Job
 
@@ -19,7 +19,7 @@
     Raises the errors of ``read_body``, and AttemptFailed if ``confirm_end`` fails.
     """
     body = await read_body(exchange, job)
-    if not shows_its_end(exchange, job):
+    if not is_framed(exchange, job):
         try:
             await confirm_end(exchange, job)
         except PulleyError as error:
--- a/packages/direct/src/pulley_direct/exchanges.py
+++ b/packages/direct/src/pulley_direct/exchanges.py
@@ -6,7 +6,7 @@
 import h11
 
 from pulley_base import ConnectionLost, PulleyError, Reason
-from pulley_http import Headers
+from pulley_http import Headers, shows_its_end
 from pulley_http.connections import parse_event
 
 from .channels import Channel, close_channel, release_channel
@@ -22,8 +22,6 @@
 # Pieces of a body that are parsed before other tasks get a turn: some milliseconds
 # of work if an endpoint sends very small chunks.
 MAX_PIECES_PER_TURN = 256
-BODILESS_STATUSES = frozenset({204, 304})
-FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 @dataclass(slots=True)
@@ -86,15 +84,9 @@
             raise ConnectionLost("closed in mid-answer", step="body", peer=peer)
 
 
-def shows_its_end(exchange: Exchange, job: Job) -> bool:
-    """Check whether an answer says itself where it ends.
-
-    One with neither a length nor chunks ends with its connection, as does one that
-    its endpoint broke off.
-    """
-    if job.call.method == "HEAD" or exchange.status in BODILESS_STATUSES:
-        return True
-    return any(name.lower() in FRAMING_HEADERS for name, _value in exchange.headers)
+def is_framed(exchange: Exchange, job: Job) -> bool:
+    """Check whether an answer says itself where it ends."""
+    return shows_its_end(job.call.method, exchange.status, exchange.headers)
 
 
 def end_exchange(exchange: Exchange) -> None:
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -14,8 +14,8 @@
     attempt_failure,
     end_exchange,
     failure_reason,
+    is_framed,
     read_chunk,
-    shows_its_end,
 )
 from .jobs import Elsewhere, Job
 from .loads import record_success
@@ -176,7 +176,7 @@
     if is_inside_event(buffer):
         exchange.finished = False
         raise ConnectionLost("ended inside an event", step="body", peer=peer)
-    if shows_its_end(exchange, job):
+    if is_framed(exchange, job):
         return
     if not buffer.has_events:
         exchange.finished = False
--- a/packages/http/src/pulley_http/__init__.py
+++ b/packages/http/src/pulley_http/__init__.py
@@ -9,6 +9,7 @@
     drop_hop_by_hop_headers,
     find_header,
     read_all,
+    shows_its_end,
 )
 from .problems import RequestRefused, problem_body, problem_response
 from .servers import Handler, Server, close_server, drain_server, start_server
@@ -32,5 +33,6 @@
     "problem_response",
     "read_all",
     "send_request",
+    "shows_its_end",
     "start_server",
 ]
--- a/packages/http/src/pulley_http/models.py
+++ b/packages/http/src/pulley_http/models.py
@@ -20,6 +20,10 @@
 )
 
 
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+BODILESS_STATUSES = frozenset({204, 304})
+
+
 @dataclass(slots=True)
 class Limits:
     """Sizes and timeouts that a server enforces on each connection.
@@ -87,6 +91,17 @@
     return [(key, value) for key, value in headers if key.lower() not in dropped]
 
 
+def shows_its_end(method: str, status: int, headers: Headers) -> bool:
+    """Check whether a response says itself where it ends.
+
+    One with neither a length nor chunks ends with its connection, as does one that
+    its server broke off.
+    """
+    if method == "HEAD" or status in BODILESS_STATUSES:
+        return True
+    return any(key.lower() in FRAMING_HEADERS for key, _value in headers)
+
+
 async def read_all(body: AsyncIterator[bytes] | Iterable[bytes] | bytes) -> bytes:
     """Return the whole body as bytes."""
     if isinstance(body, bytes):
--- a/tests/pauses/steps/pauses.py
+++ b/tests/pauses/steps/pauses.py
@@ -12,6 +12,7 @@
 from pulley_agent import partial_completions, pauses
 from pulley_agent.admission import Grant
 from pulley_agent.answers import Answer
+from pulley_agent.engines import Engine
 from pulley_agent.partial_completions import parse_pausable
 from pulley_base import Clock
 from pulley_http import Client, close_client
@@ -48,10 +49,15 @@
     return Grant(admission, item, 10, 10, partial=parse_pausable(opened))
 
 
+async def has_not_crashed():
+    return False
+
+
 async def run_with_pauses(opened, pause_at):
     """Return the events of an answer that is paused at some token counts."""
-    engine = await start_engine(EngineSettings(decode_ms=1))
+    address = await start_engine(EngineSettings(decode_ms=1))
     client, answer, grant = Client(), Answer(10**6), make_grant(opened)
+    engine = Engine(client, address, has_not_crashed)
     n_paused = 0
 
     async def resume_at_once(grant):
@@ -74,7 +80,7 @@
     originals = pauses.wait_to_resume, parts.record_choices
     pauses.wait_to_resume, parts.record_choices = resume_at_once, record_and_pause
     try:
-        await pauses.run_pausable(client, engine, opened, grant, answer, fail)
+        await pauses.run_pausable(engine, opened, grant, answer, fail)
     finally:
         pauses.wait_to_resume, parts.record_choices = originals
     close_client(client)
