Reset an answer without chunks that a drain cuts

Such an answer ends with its connection. It was reset if the body failed, but closed in order if a drain ran out of time and aborted the connection, or if the process died. Evidence: the scenario of tests/http/cuts.feature with HTTP/1.0 and a drain failed before. Change: while a body without chunks is being sent, its socket is set to reset when it is closed, whoever closes it; once the body is complete it closes in order again. That a kill of the process resets it as well follows from the kernel's rule and was not played. tests/http: 71 scenarios passed.

--- a/packages/http/src/pulley_http/response_writes.py
+++ b/packages/http/src/pulley_http/response_writes.py
@@ -16,8 +16,9 @@
 
 LINGER_MS = 1_000
 MS_PER_S = 1_000
-# A linger time of zero.
+# Values of the socket option: whether to linger on closing, and for how many seconds.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 
 logger = logging.getLogger(__name__)
 
@@ -48,7 +49,14 @@
 
 
 async def stream_body(connection: HttpConnection, body: AsyncIterator[bytes]) -> None:
-    """Send the body's pieces as they are produced, with backpressure."""
+    """Send the body's pieces as they are produced, with backpressure.
+
+    A body without chunks ends with its connection. Until it is complete that would be
+    reset, however it ends, so that a part of the body can't look whole.
+    """
+    is_chunked = connection.h11.their_http_version == CHUNKED_HTTP_VERSION
+    if not is_chunked:
+        set_linger(connection, RESET_ON_CLOSE)
     try:
         async for piece in body:
             if piece:
@@ -57,23 +65,19 @@
                 await connection.writable.wait()
     except Exception as error:
         log_event(logger, "answer_cut", peer=connection.peer, error=repr(error))
-        end_incomplete(connection)
+        connection.transport.close()
         raise ConnectionError("the response body was interrupted") from error
     finally:
         await body.aclose()
+    if not is_chunked:
+        set_linger(connection, CLOSE_IN_ORDER)
 
 
-def end_incomplete(connection: HttpConnection) -> None:
-    """End the connection so that its response can't look complete.
-
-    A response without chunks ends with its connection, unless that is reset.
-    """
-    if connection.h11.their_http_version == CHUNKED_HTTP_VERSION:
-        connection.transport.close()
-    else:
+def set_linger(connection: HttpConnection, linger_option: bytes) -> None:
+    """Set how the kernel ends a connection, unless it has ended already."""
+    if not connection.transport.is_closing():
         sock = connection.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        connection.transport.abort()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_option)
 
 
 async def linger(connection: HttpConnection) -> None:
