Take a refusal that an endpoint writes once more for no other request's answer

Reported by operators of systems like this one: clients were told 'not run' for requests that an engine ran, or such a request ran twice. Cause: the router takes an answer on a kept connection for the one that it waits for, if its id fits or if it is an error without an id. An error without an id fitted any request, also the refusal of an earlier one. And a request that is sent to a second endpoint at an address, as endpoints there replace each other, went over the same connection, where its own earlier refusal fits. Class of fault: an answer attributed by its place on a connection. Change: an error without an id counts only as the answer to the first request on its connection, or to a request that has no id; otherwise it is skipped like any answer to another request. A request that comes to an address again gets a new connection. Why it works: nothing of an earlier request can be left on a new connection. An endpoint that answers with errors without an id on kept connections makes the router wait for the deadline; the users' pages say that answers have ids.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -41,6 +41,7 @@
 # Informational answers, and those to earlier requests, that may come before the
 # expected one: far more than a sound endpoint sends.
 MAX_SKIPPED_ANSWERS = 16
+FIRST_ERROR_STATUS = 400
 # Endpoints reset connections over their limit; the rest is for routers that are just
 # starting or stopping, which also hold connections.
 CHANNEL_LIMIT_SHARE = 0.9
@@ -58,7 +59,7 @@
     state.in_flight += 1
     channel = None
     try:
-        channel = await open_channel(router, endpoint)
+        channel = await open_channel(router, job, endpoint)
         return await send_on_channel(router, job, target, channel, last_event_id)
     except BaseException:
         state.in_flight -= 1
@@ -67,9 +68,10 @@
         raise
 
 
-async def open_channel(router: Router, endpoint: Endpoint) -> Channel:
-    """Return a channel to an endpoint.
+async def open_channel(router: Router, job: Job, endpoint: Endpoint) -> Channel:
+    """Return a channel to an endpoint; a new one if the job was at its address before.
 
+    An answer that an endpoint repeats on a kept channel then can't be one to this job.
     Raises AttemptFailed if the channel limit is reached or the connection fails;
     nothing has been sent in that case.
     """
@@ -81,9 +83,10 @@
             reached=False,
             may_have_run=False,
         )
-    channel = take_idle(router.pool, endpoint.address)
-    if channel is not None:
-        return channel
+    if endpoint.address not in job.addresses:
+        channel = take_idle(router.pool, endpoint.address)
+        if channel is not None:
+            return channel
     try:
         channel = await connect_channel(router.pool, endpoint.address)
     except PulleyError as error:
@@ -141,6 +144,8 @@
         )
     allow_late_reading(channel, len(job.body), left_ms)
     job.sent_to.append(endpoint.name)
+    job.addresses.add(endpoint.address)
+    channel.n_requests += 1
     job.sent_ms = router.clock.now_ms()
     job.placement = target.placement
     job.reported = None
@@ -221,7 +226,7 @@
         if isinstance(head, h11.InformationalResponse):
             continue
         metadata = router.header_codec.read_answer(head.headers)
-        if is_answer_to_job(job, head.status_code, metadata):
+        if is_answer_to_job(job, channel, head.status_code, metadata):
             return head, metadata
         log_event(
             logger,
@@ -250,14 +255,18 @@
     return head
 
 
-def is_answer_to_job(job: Job, status: int, metadata: AnswerMetadata) -> bool:
+def is_answer_to_job(
+    job: Job, channel: Channel, status: int, metadata: AnswerMetadata
+) -> bool:
     """Check whether an answer belongs to this request.
 
-    An error answer may come without a request id and is accepted as a match.
+    An error answer without a request id does if none can be left of earlier requests,
+    or if the request has no id itself.
     """
-    if metadata.request_id is None:
-        return status >= 400
-    return metadata.request_id == job.call.request_id
+    if metadata.request_id is not None:
+        return metadata.request_id == job.call.request_id
+    is_only_one = channel.n_requests == 1 or not job.call.request_id
+    return status >= FIRST_ERROR_STATUS and is_only_one
 
 
 async def discard_answer(
--- a/packages/direct/src/pulley_direct/channels.py
+++ b/packages/direct/src/pulley_direct/channels.py
@@ -37,13 +37,14 @@
 
     ``expires_ms`` is the clock reading until which it may be reused. ``is_patient``
     says that it carried a long request, which its endpoint may not have read yet: an
-    endpoint may answer before.
+    endpoint may answer before. ``n_requests`` counts the requests sent on it.
     """
 
     connection: ClientConnection
     address: str
     expires_ms: int = 0
     is_patient: bool = False
+    n_requests: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -45,21 +45,20 @@
 class Job:
     """A caller's request while the router works on it.
 
-    ``arrived_ms``, ``deadline_ms`` and ``sent_ms``, the time of the last attempt,
-    are readings of the router's clock. ``version`` is that of the configuration
-    in force when the job was created. ``sent_to`` lists the endpoints that the
-    request was sent to, in order; ``excluded`` holds those that are not to be
-    tried again. ``may_have_run`` says whether one of them may have begun to work
-    on it, ``retry_reserved`` that its next retry has already been taken from the
-    budget, ``streaming`` that the router has begun a streamed answer.
-    ``last_bad_endpoint`` is the endpoint for which an attempt was last counted as
-    bad, ``fallback_response`` an endpoint's error answer that is returned if no
-    other attempt succeeds. ``scores`` are those of the request's keys when it was last
-    sent, None once it had a good answer. ``placement`` tells why the endpoint of the
-    last attempt was chosen, ``reported`` is the load that this endpoint reported.
-    ``elsewhere`` is set once the job is dispatched; ``other`` is the attempt beside the
-    present one, if that is silent. ``losses`` are
-    not reported yet.
+    ``arrived_ms``, ``deadline_ms`` and ``sent_ms``, the time of the last attempt, are
+    readings of the router's clock. ``version`` is that of the configuration in force
+    when the job was created. ``sent_to`` lists the endpoints that the request was sent
+    to, in order, ``addresses`` where they are; ``excluded`` holds those that are not to
+    be tried again. ``may_have_run`` says whether one of them may have begun to work on
+    it, ``retry_reserved`` that its next retry has already been taken from the budget,
+    ``streaming`` that the router has begun a streamed answer. ``last_bad_endpoint`` is
+    the endpoint for which an attempt was last counted as bad, ``fallback_response`` an
+    endpoint's error answer that is returned if no other attempt succeeds. ``scores``
+    are those of the request's keys when it was last sent, None once it had a good
+    answer. ``placement`` tells why the endpoint of the last attempt was chosen,
+    ``reported`` is the load that this endpoint reported. ``elsewhere`` is set once the
+    job is dispatched; ``other`` is the attempt beside the present one, if that is
+    silent. ``losses`` are not reported yet.
     """
 
     call: Call
@@ -71,6 +70,7 @@
     deadline_ms: int
     version: int
     sent_to: list[str] = field(default_factory=list)
+    addresses: set[str] = field(default_factory=set)
     excluded: set[str] = field(default_factory=set)
     may_have_run: bool = False
     retry_reserved: bool = False
