Continue a stream only by an answer of its own status and media type

Reported by operators of systems like this one: an error's text in the middle of a stream, or a stream that ended as if it were complete, when the next engine answered with an error. Here too, in part. Cause: an answer counted as the rest of a broken stream if its status was below 300. An empty 204, or a success of another type without a body, ended the stream as complete; an error's text with a blank line went into it as an event. Class of fault: the success of an attempt judged by one field. Evidence: four of the 17 scenarios of failed_continuations.feature failed before: 2 of 3 events and complete, an error's text as third event, and a silent stream that was given up for an error of another type. An error or a refusal with a status of its own was never passed on. Change: a continuation must have the status and the media type with which the stream began; any other answer is a failed attempt. All 17 pass, and the scenarios of tests/direct about streams.

--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -17,7 +17,7 @@
     report_if_suspect,
     retry_after_quarantine_ms,
 )
-from .exchanges import Exchange, end_exchange
+from .exchanges import Exchange, end_exchange, stream_head
 from .failures import handle_attempt_failure
 from .jobs import AttemptFailed, Elsewhere, Job
 from .loads import record_success
@@ -291,13 +291,14 @@
 ) -> Exchange:
     """Start one attempt that continues a stream.
 
-    Raises AttemptFailed, also for an answer whose status is not a success.
+    Raises AttemptFailed, also for an answer that does not begin as the stream did.
     """
     exchange = await start_exchange(router, job, target, last_event_id)
     try:
         await check_answer(exchange, job)
-        if exchange.status >= FIRST_NON_SUCCESS_STATUS:
-            text = f"status {exchange.status}"
+        head = stream_head(exchange)
+        if head != job.stream_head:
+            text = f"status {head.status}, media type {head.media_type.decode()!r}"
             raise AttemptFailed(Reason.ENGINE_ERROR, text, target.endpoint)
     except BaseException:
         end_exchange(exchange)
--- a/packages/direct/src/pulley_direct/exchanges.py
+++ b/packages/direct/src/pulley_direct/exchanges.py
@@ -6,11 +6,11 @@
 import h11
 
 from pulley_base import ConnectionLost, PulleyError, Reason
-from pulley_http import Headers, shows_its_end
+from pulley_http import Headers, find_header, shows_its_end
 from pulley_http.connections import parse_event
 
 from .channels import Channel, close_channel, release_channel
-from .jobs import AttemptFailed, Job
+from .jobs import AttemptFailed, Job, StreamHead
 from .loads import get_state
 from .models import AnswerMetadata, Endpoint
 from .routers import Router
@@ -89,6 +89,13 @@
     return shows_its_end(job.call.method, exchange.status, exchange.headers)
 
 
+def stream_head(exchange: Exchange) -> StreamHead:
+    """Return what the head of a streamed answer says of it."""
+    content_type = find_header(exchange.headers, b"content-type") or b""
+    media_type = content_type.partition(b";")[0].strip().lower()
+    return StreamHead(exchange.status, media_type)
+
+
 def end_exchange(exchange: Exchange) -> None:
     """Release the channel of a finished exchange, close that of an incomplete one."""
     state = get_state(exchange.router.loads, exchange.endpoint.name)
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -41,6 +41,17 @@
     answer_began: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StreamHead:
+    """Status and media type of a streamed answer, the same for its continuations.
+
+    ``media_type`` is empty if the answer names none.
+    """
+
+    status: int
+    media_type: bytes
+
+
 @dataclass(slots=True)
 class Job:
     """A caller's request while the router works on it.
@@ -51,14 +62,14 @@
     to, in order, ``addresses`` where they are; ``excluded`` holds those that are not to
     be tried again. ``may_have_run`` says whether one of them may have begun to work on
     it, ``retry_reserved`` that its next retry has already been taken from the budget,
-    ``streaming`` that the router has begun a streamed answer. ``last_bad_endpoint`` is
-    the endpoint for which an attempt was last counted as bad, ``fallback_response`` an
-    endpoint's error answer that is returned if no other attempt succeeds. ``scores``
-    are those of the request's keys when it was last sent, None once it had a good
-    answer. ``placement`` tells why the endpoint of the last attempt was chosen,
-    ``reported`` is the load that this endpoint reported. ``elsewhere`` is set once the
-    job is dispatched; ``other`` is the attempt beside the present one, if that is
-    silent. ``losses`` are not reported yet.
+    ``stream_head`` is that of the streamed answer that the router has begun.
+    ``last_bad_endpoint`` is the endpoint for which an attempt was last counted as bad,
+    ``fallback_response`` an endpoint's error answer that is returned if no other
+    attempt succeeds. ``scores`` are those of the request's keys when it was last sent,
+    None once it had a good answer. ``placement`` tells why the endpoint of the last
+    attempt was chosen, ``reported`` is the load that this endpoint reported.
+    ``elsewhere`` is set once the job is dispatched; ``other`` is the attempt beside the
+    present one, if that is silent. ``losses`` are not reported yet.
     """
 
     call: Call
@@ -74,7 +85,7 @@
     excluded: set[str] = field(default_factory=set)
     may_have_run: bool = False
     retry_reserved: bool = False
-    streaming: bool = False
+    stream_head: StreamHead | None = None
     sent_ms: int = 0
     last_bad_endpoint: str | None = None
     fallback_response: Response | None = None
--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/outcomes.py
@@ -64,7 +64,7 @@
 
 def record_if_late(router: Router, job: Job, endpoint: Endpoint) -> None:
     """Count an answer that has not begun within the route's target as bad."""
-    if not job.streaming and is_late(router, job):
+    if job.stream_head is None and is_late(router, job):
         record_bad_outcome(router, job, endpoint)
 
 
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/streams.py
@@ -16,6 +16,7 @@
     failure_reason,
     is_framed,
     read_chunk,
+    stream_head,
 )
 from .jobs import Elsewhere, Job
 from .loads import record_success
@@ -201,7 +202,7 @@
             await check_end(exchange, job, stream.buffer)
     except PulleyError as error:
         raise attempt_failure(exchange, error) from error
-    job.streaming = True
+    job.stream_head = stream_head(exchange)
     job.elsewhere = Elsewhere(stream.resume_elsewhere, end_exchange)
     headers = [
         pair
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -111,6 +111,6 @@
     if unreachable:
         return silent_ms >= UNREACHABLE_WAIT_MS
     if job.route.retry_class is RetryClass.STREAM:
-        return job.streaming and silent_ms >= STREAM_STALL_MS
+        return job.stream_head is not None and silent_ms >= STREAM_STALL_MS
     target_ms = job.route.target_ms
     return bool(target_ms) and silent_ms >= ANSWER_WAIT_FACTOR * target_ms
