Cut a stream into which its endpoint writes another answer's head

Reported by operators of systems like this one: an error's whole head in the middle of a stream. Here too, if the stream's endpoint writes it itself. Cause: events are told apart by blank lines, and so a head ends like an event. In a body with neither a length nor chunks nothing else keeps them apart. Evidence: two scenarios of failed_continuations.feature failed before; the caller got the head as an event, and a complete stream. Change: a status line begins no event. The events before it are passed on, and the stream counts as broken then. 19 scenarios of that feature pass, with those of broken_streams, endless_answers and direct.

--- a/packages/direct/src/pulley_direct/events.py
+++ b/packages/direct/src/pulley_direct/events.py
@@ -10,6 +10,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 BLANK_OR_COMMENT_LINES = re.compile(rb"(?:(?::[^\n]*)?\r?\n)*")
+STATUS_LINE_START = b"HTTP/1."
 EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 # As many as an unsigned integer of 64 bits has.
 MAX_ID_DIGITS = 20
@@ -31,8 +32,9 @@
 def take_events(buffer: EventBuffer, data: bytes) -> bytes:
     """Append bytes and return all whole events, empty if there are none.
 
-    Raises ProtocolError if over ``MAX_EVENT_BYTES`` are pending and make no event, or
-    an id has over ``MAX_ID_DIGITS`` digits.
+    Raises ProtocolError if over ``MAX_EVENT_BYTES`` are pending and make no event, if
+    another answer begins in place of an event, or if an id has over ``MAX_ID_DIGITS``
+    digits.
 
     >>> buffer = EventBuffer()
     >>> take_events(buffer, b"id: 1\\n\\nid: 2")
@@ -48,7 +50,11 @@
     pending += data
     end = 0
     for match in EVENT_END.finditer(pending, start):
+        if pending.startswith(STATUS_LINE_START, end):
+            break
         end = match.end()
+    if not end and pending.startswith(STATUS_LINE_START):
+        raise ProtocolError("another answer begins inside the stream", step="body")
     whole = bytes(pending[:end])
     del pending[:end]
     ids = EVENT_ID.findall(whole)
--- a/tests/direct/failed_continuations.feature
+++ b/tests/direct/failed_continuations.feature
@@ -24,6 +24,16 @@
       | a success of another type with a blank line |
       | an event's start and then an error's head  |
 
+  # Guards against an error's head in the middle of a stream that ends with its connection.
+  Scenario Outline: A stream by <framing> into which its endpoint writes an error's head is cut
+    When the endpoint of a stream by <framing> writes an error's head after 2 of 3 events
+    Then the caller gets the 2 events and nothing else, and its stream is cut
+
+    Examples:
+      | framing |
+      | nothing |
+      | chunks  |
+
   # Guards against an error in the middle of a stream whose endpoint fell silent.
   Scenario Outline: A silent stream goes on if its continuation is <answer>
     When a stream falls silent after 2 of 3 events and its continuation is <answer>
