Count an answer as late only if it had not come when its target passed

Cause: the time to an answer was read from the clock once the router had read it. A router that is busy reads late, so that sound endpoints had bad outcomes and could be ejected for 3 s. Change: the wait for an answer ends as the target passes, looks at the connection once more, and counts the attempt as late only if nothing has come. An answer that was not found late counts as good.

--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -22,7 +22,7 @@
 from .jobs import AttemptFailed, Elsewhere, Job
 from .loads import record_success
 from .models import Endpoint, RetryClass
-from .outcomes import record_answer_time
+from .outcomes import count_answer
 from .placing import Target, choose_target
 from .routers import Router
 from .streams import EventStream, open_stream
@@ -209,7 +209,7 @@
             and exchange.status < FIRST_NON_SUCCESS_STATUS
         ):
             response = await open_stream(router, job, exchange, resume_stream)
-            record_answer_time(router, job, endpoint)
+            count_answer(router, job, endpoint)
             return response
         body = await read_whole_body(exchange, job)
     except BaseException:
@@ -217,7 +217,7 @@
         raise
     end_exchange(exchange)
     record_success(router.loads, endpoint.name)
-    record_answer_time(
+    count_answer(
         router, job, endpoint, failed=exchange.status >= FIRST_SERVER_ERROR_STATUS
     )
     headers = drop_hop_by_hop_headers(exchange.headers)
--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/outcomes.py
@@ -52,18 +52,18 @@
     return reason not in (Reason.ENDPOINT_BUSY, Reason.WRONG_ENDPOINT)
 
 
-def record_answer_time(
+def count_answer(
     router: Router, job: Job, endpoint: Endpoint, *, failed: bool = False
 ) -> None:
-    """Count an answer that began: good within the route's target, bad if ``failed``."""
-    if failed or is_late(router, job):
+    """Count an answer: bad if ``failed``, good if it was not found late before."""
+    if failed:
         record_bad_outcome(router, job, endpoint)
-    else:
+    elif job.last_bad_endpoint != endpoint.name:
         record_outcome(router.loads, endpoint.name, endpoint.service, good=True)
 
 
 def record_if_late(router: Router, job: Job, endpoint: Endpoint) -> None:
-    """Count an answer that has not begun within the route's target as bad."""
+    """Count an answer of which nothing has come as bad after the route's target."""
     if job.stream_head is None and is_late(router, job):
         record_bad_outcome(router, job, endpoint)
 
@@ -91,10 +91,20 @@
         )
 
 
+def time_to_target_ms(router: Router, job: Job) -> int | None:
+    """Return the time until the current attempt takes longer than the route's target.
+
+    0 from then on, None if the route has no target.
+    """
+    target_ms = job.route.target_ms
+    if not target_ms:
+        return None
+    return max(0, job.sent_ms + target_ms + 1 - router.clock.now_ms())
+
+
 def is_late(router: Router, job: Job) -> bool:
     """Check whether the current attempt has taken longer than the route's target.
 
     False if the route has no target.
     """
-    target_ms = job.route.target_ms
-    return bool(target_ms) and router.clock.now_ms() - job.sent_ms > target_ms
+    return time_to_target_ms(router, job) == 0
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -10,7 +10,7 @@
 from .jobs import Job
 from .loads import is_unreachable
 from .models import Endpoint, RetryClass
-from .outcomes import record_if_late
+from .outcomes import record_if_late, time_to_target_ms
 from .routers import Router
 from .takeovers import has_ended_other, has_other_answer, settle_other, start_other
 
@@ -60,13 +60,21 @@
             )
         if reserve_other(router, job, endpoint, silent_ms):
             start_other(router, job, endpoint, connection)
-        wait_ms = min(left_ms, POLL_INTERVAL_MS)
+        wait_ms = min(left_ms, next_check_ms(router, job))
         if await read_within(connection, wait_ms, left_ms - wait_ms):
             return
         silent_ms += wait_ms
         record_if_late(router, job, endpoint)
 
 
+def next_check_ms(router: Router, job: Job) -> int:
+    """Return when to check a silent endpoint next: also as the target passes.
+
+    The clock tells later only how long an answer took that this router read late.
+    """
+    return min(time_to_target_ms(router, job) or POLL_INTERVAL_MS, POLL_INTERVAL_MS)
+
+
 def reserve_other(router: Router, job: Job, endpoint: Endpoint, silent_ms: int) -> bool:
     """Check whether to ask another endpoint now, and reserve the retry for it."""
     if job.other is not None or not job.may_retry:
