Keep a request's clearance with the reports that name it

Cause: a report is kept, and written again by other routers, for as long as it quarantines one of its keys. It always names its request as well, as it is told from others by it. A clearance of the request was shared by the router that saw the good answer alone, and for 20 minutes. A router that starts read the kept reports, and refused the sound request for one to three minutes. Change: a router's entry has the clearances that it knows of the requests in the reports that it shares.

--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import logging
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 from itertools import islice
 
 from pulley_base import Clock, PulleyError, log_event, to_seconds, wall_time_ms
-from pulley_policy.crashes import Evidence, LostRequest, remove_expired
+from pulley_policy.crashes import (
+    Clearance,
+    Evidence,
+    LostRequest,
+    remove_expired,
+)
 from pulley_policy.keepers import list_kept
 from pulley_policy.probation import find_place
 
@@ -86,7 +93,9 @@
         granted = await store.grant_lease(LEASE_TTL_MS)
         lease = ReportLease(granted.lease, now_ms + granted.ttl_ms - MIN_LEASE_LEFT_MS)
     crash_log.pending = False
-    reports = CrashReports(name, list_shared(router), tuple(crash_log.own_cleared))
+    lost = list_shared(router)
+    cleared = (*crash_log.own_cleared, *list_clearances(crash_log.evidence, lost))
+    reports = CrashReports(name, lost, tuple(dict.fromkeys(cleared)))
     crash_log.sharing = bool(reports.lost)
     await store.report_crashes(reports, lease.id)
     return lease
@@ -111,6 +120,21 @@
     )
 
 
+def list_clearances(
+    evidence: Evidence, lost: Iterable[LostRequest]
+) -> Iterator[Clearance]:
+    """Yield the requests that were cleared, each with the crashes it was lost in.
+
+    A report is kept for all of its keys, and so tells also of a request that is sound.
+    """
+    crashes_by_request = defaultdict(list)
+    for one in lost:
+        if one.crash in evidence.cleared.get(one.request, ()):
+            crashes_by_request[one.request].append(one.crash)
+    for request, crashes in crashes_by_request.items():
+        yield Clearance(request, tuple(crashes))
+
+
 def list_own(crash_log: CrashLog) -> list[LostRequest]:
     """Return the router's own reports that hold, the newest first."""
     held = crash_log.evidence.reports
--- a/tests/spreads/steps/health.py
+++ b/tests/spreads/steps/health.py
@@ -153,7 +153,7 @@
         target_ms=0,
         max_attempts=2,
     )
-    context.job = SimpleNamespace(route=route, sent_ms=0, streaming=False)
+    context.job = SimpleNamespace(route=route, sent_ms=0, stream_head=None)
 
 
 @when("its endpoint has sent nothing for {silent_ms:d} ms")
