--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -5,13 +5,15 @@
 
 from pulley_base import log_event, warn_event
 from pulley_policy.crashes import (
-    Clearance,
-    Evidence,
-    LostRequest,
     add_clearance,
     add_report,
     drop_first,
     is_quarantined,
+)
+from pulley_policy.losses import (
+    Clearance,
+    Evidence,
+    LostRequest,
     score_key,
 )
 
--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -7,12 +7,14 @@
 
 from pulley_base import Reason, log_event
 from pulley_policy.crashes import (
+    find_quarantined,
+    record_good,
+)
+from pulley_policy.losses import (
     Scores,
     blame,
-    find_quarantined,
     last_key,
     probed_keys,
-    record_good,
     score_request,
 )
 from pulley_policy.probation import (
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -7,7 +7,7 @@
 from pulley_http import RequestRefused, Response, drop_hop_by_hop_headers
 
 from .attempts import start_exchange
-from .bodies import read_body, read_whole_body
+from .bodies import read_whole_body
 from .budgets import earn_retry, spend_retry
 from .crashes import (
     find_quarantine,
@@ -17,13 +17,16 @@
     report_if_suspect,
     retry_after_quarantine_ms,
 )
-from .exchanges import Exchange, end_exchange, stream_head
+from .exchanges import end_exchange
 from .failures import handle_attempt_failure
 from .jobs import AttemptFailed, Elsewhere, Job
 from .loads import record_success
 from .models import Endpoint, RetryClass
 from .outcomes import count_answer
 from .placing import Target, choose_target
+from .rejections import check_answer
+from .resends import retry_denial_reason, should_retry_error
+from .resumptions import resume_stream
 from .routers import Router
 from .streams import EventStream, open_stream
 from .takeovers import has_other_answer, stop_other, take_other_answer
@@ -34,7 +37,6 @@
 # that wait a second can still retry within it.
 RETRY_AFTER_MS = 200
 FIRST_NON_SUCCESS_STATUS = 300
-MISDIRECTED_STATUS = 421
 FIRST_SERVER_ERROR_STATUS = 500
 # Unauthorized, forbidden, timeout, too early, too many requests: the request itself may
 # not have been looked at.
@@ -224,126 +226,6 @@
     return Response(exchange.status, headers, body)
 
 
-async def check_answer(exchange: Exchange, job: Job) -> None:
-    """Raise AttemptFailed for an answer that can't be passed on.
-
-    That is a rejection of the request, or a body with a content encoding.
-    """
-    if exchange.metadata.not_run or exchange.status == MISDIRECTED_STATUS:
-        await raise_rejection(exchange, job)
-    if exchange.metadata.encoded:
-        text = "an encoded body"
-        raise AttemptFailed(Reason.ENGINE_ERROR, text, exchange.endpoint)
-
-
-async def raise_rejection(exchange: Exchange, job: Job) -> None:
-    """Raise AttemptFailed for a request that the endpoint did not run.
-
-    Reads the answer to its end first. Its text is not passed on, so that a part of it
-    will do.
-    """
-    await read_body(exchange, job)
-    reason = Reason.ENDPOINT_BUSY
-    if exchange.status == MISDIRECTED_STATUS:
-        reason = Reason.WRONG_ENDPOINT
-    raise AttemptFailed(
-        reason, f"status {exchange.status}", exchange.endpoint, may_have_run=False
-    )
-
-
-async def resume_stream(
-    router: Router, job: Job, last_event_id: int | None
-) -> Exchange | None:
-    """Continue a broken stream at another endpoint, after ``last_event_id``.
-
-    Returns None if no time, attempt, retry or endpoint is left. A retry that was not
-    sent stays reserved for the job.
-    """
-    while may_resume(router, job) and spend_retry(router, job, Reason.CONNECTION_LOST):
-        if find_quarantine(router, job) is not None:
-            job.retry_reserved = True
-            return None
-        target = choose_target(router, job)
-        if target is None:
-            job.retry_reserved = True
-            return None
-        try:
-            return await start_resumed_exchange(router, job, target, last_event_id)
-        except AttemptFailed as failure:
-            if failure.reason is not Reason.STALLED:
-                handle_attempt_failure(router, job, failure)
-            resumed = await take_other_answer(job)
-            if resumed is not None:
-                return resumed
-            job.retry_reserved = job.retry_reserved or not failure.reached
-        finally:
-            stop_other(job)
-    return None
-
-
-def may_resume(router: Router, job: Job) -> bool:
-    """Check whether a broken stream has time and attempts left."""
-    return job.deadline_ms > router.clock.now_ms() and has_attempts_left(job)
-
-
-async def start_resumed_exchange(
-    router: Router, job: Job, target: Target, last_event_id: int | None
-) -> Exchange:
-    """Start one attempt that continues a stream.
-
-    Raises AttemptFailed, also for an answer that does not begin as the stream did.
-    """
-    exchange = await start_exchange(router, job, target, last_event_id)
-    try:
-        await check_answer(exchange, job)
-        head = stream_head(exchange)
-        if head != job.stream_head:
-            text = f"status {head.status}, media type {head.media_type.decode()!r}"
-            raise AttemptFailed(Reason.ENGINE_ERROR, text, target.endpoint)
-    except BaseException:
-        end_exchange(exchange)
-        raise
-    return exchange
-
-
-def retry_denial_reason(
-    router: Router, job: Job, failure: AttemptFailed
-) -> Reason | None:
-    """Return why a job must not be sent again, None if it may be.
-
-    Takes a retry from the budget if the endpoint was reached.
-    """
-    if job.may_have_run and not job.route.retryable:
-        return failure.reason
-    if job.deadline_ms <= router.clock.now_ms():
-        return Reason.DEADLINE
-    if not failure.reached:
-        return None
-    if not has_attempts_left(job):
-        return failure.reason
-    if not spend_retry(router, job, failure.reason):
-        return Reason.RETRY_BUDGET
-    return None
-
-
-def should_retry_error(router: Router, job: Job, response: Response) -> bool:
-    """Keep an endpoint's error answer as a fallback and check whether to retry.
-
-    Takes a retry from the budget if the job may be retried.
-    """
-    job.may_have_run = True
-    job.fallback_response = response
-    job.excluded.update(job.sent_to)
-    if not job.may_retry:
-        return False
-    return spend_retry(router, job, Reason.ENGINE_ERROR)
-
-
-def has_attempts_left(job: Job) -> bool:
-    """Check whether the route allows another endpoint to be tried."""
-    return len(job.sent_to) < job.route.max_attempts
-
-
 def fall_back_or_refuse(
     router: Router,
     job: Job,
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -4,7 +4,14 @@
 from random import random
 
 from pulley_policy.homes import Place, order_places, order_sources
-from pulley_policy.spreads import Option, choose_idle, choose_warm, load_bounds
+from pulley_policy.spreads import (
+    Option,
+    Spread,
+    choose_idle,
+    choose_warm,
+    load_bound,
+    measure_spread,
+)
 
 from .beliefs import service_places, usable_endpoints
 from .jobs import Job, Placement
@@ -49,7 +56,8 @@
         return choose_prompt_target(router, job, key, candidates, places)
     options = [make_option(router, endpoints[name]) for name in candidates]
     chosen = choose_idle(options, random)
-    return Target(endpoints[chosen.name], describe_placement(options, chosen, factor))
+    placement = describe_placement(chosen, measure_spread(options, factor))
+    return Target(endpoints[chosen.name], placement)
 
 
 def choose_prompt_target(
@@ -65,26 +73,24 @@
     endpoints = router.fleet_view.endpoints
     ordered = [name for name in order_places(key, places) if name in candidates]
     options = [make_option(router, endpoints[name]) for name in ordered]
-    factor = router.settings.bounds.load_factor
-    option = choose_warm(options, factor)
+    spread = measure_spread(options, router.settings.bounds.load_factor)
+    option = choose_warm(options, spread)
     chosen = option.name
     sources = order_sources(key, places, chosen)
     if not sources:
         sources = order_first_part_holders(job, places, chosen)
     return Target(
         endpoints[chosen],
-        describe_placement(options, option, factor, rank=options.index(option)),
+        describe_placement(option, spread, rank=ordered.index(chosen)),
         find_available_address(router, sources),
     )
 
 
 def describe_placement(
-    options: list[Option], chosen: Option, factor: float, rank: int | None = None
+    chosen: Option, spread: Spread, rank: int | None = None
 ) -> Placement:
     """Return what was believed of the loads when an endpoint was chosen."""
-    mean = sum(option.load for option in options) / len(options)
-    bound = load_bounds(options, factor)[chosen.name]
-    return Placement(rank, chosen.load, mean, bound)
+    return Placement(rank, chosen.load, spread.mean, load_bound(chosen, spread))
 
 
 def order_first_part_holders(job: Job, places: list[Place], chosen: str) -> list[str]:
--- /dev/null
+++ b/packages/direct/src/pulley_direct/rejections.py
@@ -0,0 +1,36 @@
+"""Answers that can't be passed on, first of all rejections of the request."""
+
+from pulley_base import Reason
+
+from .bodies import read_body
+from .exchanges import Exchange
+from .jobs import AttemptFailed, Job
+
+MISDIRECTED_STATUS = 421
+
+
+async def check_answer(exchange: Exchange, job: Job) -> None:
+    """Raise AttemptFailed for an answer that can't be passed on.
+
+    That is a rejection of the request, or a body with a content encoding.
+    """
+    if exchange.metadata.not_run or exchange.status == MISDIRECTED_STATUS:
+        await raise_rejection(exchange, job)
+    if exchange.metadata.encoded:
+        text = "an encoded body"
+        raise AttemptFailed(Reason.ENGINE_ERROR, text, exchange.endpoint)
+
+
+async def raise_rejection(exchange: Exchange, job: Job) -> None:
+    """Raise AttemptFailed for a request that the endpoint did not run.
+
+    Reads the answer to its end first. Its text is not passed on, so that a part of it
+    will do.
+    """
+    await read_body(exchange, job)
+    reason = Reason.ENDPOINT_BUSY
+    if exchange.status == MISDIRECTED_STATUS:
+        reason = Reason.WRONG_ENDPOINT
+    raise AttemptFailed(
+        reason, f"status {exchange.status}", exchange.endpoint, may_have_run=False
+    )
--- /dev/null
+++ b/packages/direct/src/pulley_direct/resumptions.py
@@ -0,0 +1,70 @@
+"""Broken streams: continued at another endpoint, after their last whole event."""
+
+from pulley_base import Reason
+
+from .attempts import start_exchange
+from .budgets import spend_retry
+from .crashes import find_quarantine
+from .exchanges import Exchange, end_exchange, stream_head
+from .failures import handle_attempt_failure
+from .jobs import AttemptFailed, Job
+from .placing import Target, choose_target
+from .rejections import check_answer
+from .resends import has_attempts_left
+from .routers import Router
+from .takeovers import stop_other, take_other_answer
+
+
+async def resume_stream(
+    router: Router, job: Job, last_event_id: int | None
+) -> Exchange | None:
+    """Continue a broken stream at another endpoint, after ``last_event_id``.
+
+    Returns None if no time, attempt, retry or endpoint is left. A retry that was not
+    sent stays reserved for the job.
+    """
+    while may_resume(router, job) and spend_retry(router, job, Reason.CONNECTION_LOST):
+        if find_quarantine(router, job) is not None:
+            job.retry_reserved = True
+            return None
+        target = choose_target(router, job)
+        if target is None:
+            job.retry_reserved = True
+            return None
+        try:
+            return await start_resumed_exchange(router, job, target, last_event_id)
+        except AttemptFailed as failure:
+            if failure.reason is not Reason.STALLED:
+                handle_attempt_failure(router, job, failure)
+            resumed = await take_other_answer(job)
+            if resumed is not None:
+                return resumed
+            job.retry_reserved = job.retry_reserved or not failure.reached
+        finally:
+            stop_other(job)
+    return None
+
+
+def may_resume(router: Router, job: Job) -> bool:
+    """Check whether a broken stream has time and attempts left."""
+    return job.deadline_ms > router.clock.now_ms() and has_attempts_left(job)
+
+
+async def start_resumed_exchange(
+    router: Router, job: Job, target: Target, last_event_id: int | None
+) -> Exchange:
+    """Start one attempt that continues a stream.
+
+    Raises AttemptFailed, also for an answer that does not begin as the stream did.
+    """
+    exchange = await start_exchange(router, job, target, last_event_id)
+    try:
+        await check_answer(exchange, job)
+        head = stream_head(exchange)
+        if head != job.stream_head:
+            text = f"status {head.status}, media type {head.media_type.decode()!r}"
+            raise AttemptFailed(Reason.ENGINE_ERROR, text, target.endpoint)
+    except BaseException:
+        end_exchange(exchange)
+        raise
+    return exchange
--- a/packages/policy/src/pulley_policy/keepers.py
+++ b/packages/policy/src/pulley_policy/keepers.py
@@ -5,11 +5,13 @@
 """
 
 from .crashes import (
+    find_reports,
+    list_quarantined,
+)
+from .losses import (
     Evidence,
     Held,
     LostRequest,
-    find_reports,
-    list_quarantined,
 )
 from .probation import Place, draw_rank
 
--- a/packages/policy/src/pulley_policy/probation.py
+++ b/packages/policy/src/pulley_policy/probation.py
@@ -12,11 +12,13 @@
 
 from .crashes import (
     MAX_PROBED_KEYS,
-    Evidence,
-    Held,
     drop_first,
     find_reports,
 )
+from .losses import (
+    Evidence,
+    Held,
+)
 
 # The holds before the first probe, the second and all later ones. At most three probes
 # are sent in any 24 hours.
--- a/packages/policy/src/pulley_policy/spreads.py
+++ b/packages/policy/src/pulley_policy/spreads.py
@@ -20,19 +20,48 @@
     share: float = 1.0
 
 
-def choose_warm(options: Sequence[Option], factor: float) -> Option | None:
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """How much load there is: the mean of the options, and the bound on each.
+
+    ``bound_per_share`` is the load in requests that an endpoint may have for each unit
+    of its share of the capacity, beside ``BOUND_SLACK_REQUESTS``.
+    """
+
+    mean: float
+    bound_per_share: float
+
+
+def measure_spread(options: Sequence[Option], factor: float) -> Spread:
+    """Measure the load of all options; an endpoint may have ``factor`` times its share.
+
+    >>> measure_spread([Option("a", 9.0), Option("b", 0.0, share=2.0)], 2.0)
+    Spread(mean=4.5, bound_per_share=6.0)
+    """
+    if not options:
+        return Spread(0.0, 0.0)
+    total_load = sum(option.load for option in options)
+    total_share = sum(option.share for option in options)
+    bound_per_share = factor * total_load / total_share if total_share else 0.0
+    return Spread(total_load / len(options), bound_per_share)
+
+
+def load_bound(option: Option, spread: Spread) -> float:
+    """Return an endpoint's load bound in requests."""
+    return spread.bound_per_share * option.share + BOUND_SLACK_REQUESTS
+
+
+def choose_warm(options: Sequence[Option], spread: Spread) -> Option | None:
     """Return the first endpoint, in the order given, whose load is below its bound.
 
-    The bound is ``factor`` times the endpoint's share of the mean, plus two requests.
     If no load is below its bound, the least loaded is returned; without options, None.
 
     >>> both = [Option("a", 9.0), Option("b", 0.0)]
-    >>> choose_warm(both, 1.5).name
+    >>> choose_warm(both, measure_spread(both, 1.5)).name
     'b'
     """
-    bounds = load_bounds(options, factor)
     for option in options:
-        if option.load < bounds[option.name]:
+        if option.load < load_bound(option, spread):
             return option
     return min(options, key=relative_load, default=None)
 
@@ -47,20 +76,6 @@
     return min(options, key=lambda option: (relative_load(option), draw()))
 
 
-def load_bounds(options: Sequence[Option], factor: float) -> dict[str, float]:
-    """Return each endpoint's load bound in requests, by name.
-
-    The bound is ``factor`` times its share of the mean, plus ``BOUND_SLACK_REQUESTS``.
-    """
-    total_load = sum(option.load for option in options)
-    total_share = sum(option.share for option in options)
-    bound_per_share = factor * total_load / total_share if total_share else 0.0
-    return {
-        option.name: bound_per_share * option.share + BOUND_SLACK_REQUESTS
-        for option in options
-    }
-
-
 def relative_load(option: Option) -> float:
     """Return the load relative to the endpoint's share of the capacity."""
     return option.load / option.share
--- a/tests/direct/steps/crash_log.py
+++ b/tests/direct/steps/crash_log.py
@@ -14,10 +14,12 @@
 )
 from pulley_direct.models import CrashReports
 from pulley_policy.crashes import (
-    LostRequest,
-    Suspect,
     list_quarantined,
     record_good,
+)
+from pulley_policy.losses import (
+    LostRequest,
+    Suspect,
     score_request,
 )
 
--- a/tests/direct/steps/crash_reports.py
+++ b/tests/direct/steps/crash_reports.py
@@ -13,10 +13,12 @@
 from pulley_direct.models import CrashReports
 from pulley_direct.store_calls import LeaseGranted, StoreCallRefused
 from pulley_policy.crashes import (
+    list_quarantined,
+)
+from pulley_policy.losses import (
     Clearance,
     LostRequest,
     Suspect,
-    list_quarantined,
 )
 from pulley_policy.probation import quarantine_left_ms
 
--- a/tests/direct/steps/once.py
+++ b/tests/direct/steps/once.py
@@ -27,8 +27,9 @@
 )
 
 from pulley_base import Reason
-from pulley_direct.dispatch import has_attempts_left, read_whole_body
+from pulley_direct.bodies import read_whole_body
 from pulley_direct.jobs import AttemptFailed, Job
+from pulley_direct.resends import has_attempts_left
 from pulley_http import RequestRefused
 
 N_ENDPOINTS = 4
@@ -135,7 +136,7 @@
     "every refusal says 503": [("dispatch.fall_back_or_refuse", refuse_as_not_run)],
     "wrong answers passed": [("attempts.is_answer_to_job", lambda *others: True)],
     "truncated answers passed": [("dispatch.read_whole_body", read_truncated_body)],
-    "unlimited attempts": [("dispatch.has_attempts_left", lambda job: True)],
+    "unlimited attempts": [("resends.has_attempts_left", lambda job: True)],
 }
 
 
--- a/tests/policy/steps/crashes.py
+++ b/tests/policy/steps/crashes.py
@@ -10,16 +10,18 @@
     MAX_PROBED_KEYS,
     MAX_REPORTS,
     MAX_SOUND_KEYS,
-    Clearance,
-    Evidence,
-    LostRequest,
     add_clearance,
     add_report,
-    blame,
     find_quarantined,
     list_quarantined,
     record_good,
     remove_expired,
+)
+from pulley_policy.losses import (
+    Clearance,
+    Evidence,
+    LostRequest,
+    blame,
     score_request,
 )
 from pulley_policy.probation import (
--- a/tests/policy/steps/crashing_requests.py
+++ b/tests/policy/steps/crashing_requests.py
@@ -9,14 +9,16 @@
 
 from pulley_policy.crashes import (
     MAX_BARE_REPORTS,
-    Evidence,
-    LostRequest,
-    Suspect,
     add_clearance,
     add_report,
-    blame,
     find_quarantined,
     record_good,
+)
+from pulley_policy.losses import (
+    Evidence,
+    LostRequest,
+    Suspect,
+    blame,
     score_request,
 )
 
--- a/tests/spreads/steps/spreads.py
+++ b/tests/spreads/steps/spreads.py
@@ -7,7 +7,7 @@
 
 from pulley_direct.followers import watch_wait_ms
 from pulley_policy.homes import Place, order_places, order_sources
-from pulley_policy.spreads import Option, choose_idle, choose_warm
+from pulley_policy.spreads import Option, choose_idle, choose_warm, measure_spread
 
 FACTOR = 2.0
 
@@ -92,7 +92,7 @@
             key = random.choice(context.contexts)
         ordered = order_places(key, context.places)
         options = [Option(name, loads[name]) for name in ordered]
-        loads[choose_warm(options, FACTOR).name] += 1
+        loads[choose_warm(options, measure_spread(options, FACTOR)).name] += 1
     context.loads = loads
 
 
@@ -118,13 +118,13 @@
 @when("every endpoint holds the same large load")
 def fill_endpoints(context):
     options = [Option(place.name, 1_000.0) for place in context.places]
-    context.chosen = choose_warm(options, 0.5)
+    context.chosen = choose_warm(options, measure_spread(options, 0.5))
 
 
 @then("an endpoint is still chosen")
 def check_chosen(context):
     assert context.chosen is not None
-    assert choose_warm([], FACTOR) is None
+    assert choose_warm([], measure_spread([], FACTOR)) is None
 
 
 @when("{n_requests:d} short requests come and all stay in flight")
