Fold the imports of the split modules, and name what an unclear answer is

Imports of one or two names stood on lines of their own; an answer of status 200 without events, to a completion that may be paused, counted as a broken one though no event had come before. Change: one line each; an end inside an event counts only after an event.

--- a/packages/agent/src/pulley_agent/pauses.py
+++ b/packages/agent/src/pulley_agent/pauses.py
@@ -34,7 +34,6 @@
 
 MAX_PAUSE_MS = 5_000
 SSE_EVENT_END = b"\n\n"
-STATUS_OK = 200
 PAUSE_REQUESTED = Sentinel(
     "give-way", "a request that is not batch is waiting for the slot"
 )
@@ -154,7 +153,7 @@
     Returns True if all were copied, False if copying stopped for a pause (the opposite
     of ``run_part``).
 
-    Raises ProtocolError if the answer ends inside an event.
+    Raises ProtocolError if the answer ends inside an event, unless it has none at all.
     """
     rest = b""
     async with aclosing(response.body) as pieces:
@@ -166,7 +165,7 @@
                 data = rewrite_event(grant.partial, event)
                 record_progress(grant, data)
                 await append_bytes(answer, data + SSE_EVENT_END)
-        if rest and response.status == STATUS_OK:
+        if rest and answer.end:
             raise ProtocolError("ended inside an event", step="body")
         if rest:
             await append_bytes(answer, rest)
--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -6,9 +6,7 @@
 import json
 
 from pulley_http import Request, Response
-from pulley_policy.crashes import (
-    list_quarantined,
-)
+from pulley_policy.crashes import list_quarantined
 
 from .beliefs import configuration_age_ms
 from .counters import render_metrics
--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -265,8 +265,8 @@
     """
     if metadata.request_id is not None:
         return metadata.request_id == job.call.request_id
-    is_only_one = channel.n_requests == 1 or not job.call.request_id
-    return status >= FIRST_ERROR_STATUS and is_only_one
+    is_clear = channel.n_requests == 1 or not job.call.request_id
+    return status >= FIRST_ERROR_STATUS and is_clear
 
 
 async def discard_answer(
--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -4,18 +4,8 @@
 from dataclasses import dataclass, field
 
 from pulley_base import log_event, warn_event
-from pulley_policy.crashes import (
-    add_clearance,
-    add_report,
-    drop_first,
-    is_quarantined,
-)
-from pulley_policy.losses import (
-    Clearance,
-    Evidence,
-    LostRequest,
-    score_key,
-)
+from pulley_policy.crashes import add_clearance, add_report, drop_first, is_quarantined
+from pulley_policy.losses import Clearance, Evidence, LostRequest, score_key
 
 from .models import CrashReports
 from .signals import Signal
--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -8,15 +8,9 @@
 from itertools import islice
 
 from pulley_base import Clock, PulleyError, log_event, to_seconds, wall_time_ms
-from pulley_policy.crashes import (
-    remove_expired,
-)
+from pulley_policy.crashes import remove_expired
 from pulley_policy.keepers import list_kept
-from pulley_policy.losses import (
-    Clearance,
-    Evidence,
-    LostRequest,
-)
+from pulley_policy.losses import Clearance, Evidence, LostRequest
 from pulley_policy.probation import find_place
 
 from .crash_log import (
--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -6,17 +6,8 @@
 from hashlib import blake2b
 
 from pulley_base import Reason, log_event
-from pulley_policy.crashes import (
-    find_quarantined,
-    record_good,
-)
-from pulley_policy.losses import (
-    Scores,
-    blame,
-    last_key,
-    probed_keys,
-    score_request,
-)
+from pulley_policy.crashes import find_quarantined, record_good
+from pulley_policy.losses import Scores, blame, last_key, probed_keys, score_request
 from pulley_policy.probation import (
     Sender,
     find_place,
--- a/packages/direct/src/pulley_direct/jobs.py
+++ b/packages/direct/src/pulley_direct/jobs.py
@@ -7,9 +7,7 @@
 
 from pulley_base import PulleyError, Reason
 from pulley_http import Response
-from pulley_policy.losses import (
-    Scores,
-)
+from pulley_policy.losses import Scores
 
 from .models import Call, Endpoint, ReportedLoad, Route, Team
 
--- a/packages/policy/src/pulley_policy/keepers.py
+++ b/packages/policy/src/pulley_policy/keepers.py
@@ -4,15 +4,8 @@
 the same ones as far as all know, write the reports again that it takes.
 """
 
-from .crashes import (
-    find_reports,
-    list_quarantined,
-)
-from .losses import (
-    Evidence,
-    Held,
-    LostRequest,
-)
+from .crashes import find_reports, list_quarantined
+from .losses import Evidence, Held, LostRequest
 from .probation import Place, draw_rank
 
 N_KEEPERS = 3
--- a/packages/policy/src/pulley_policy/probation.py
+++ b/packages/policy/src/pulley_policy/probation.py
@@ -10,15 +10,8 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from .crashes import (
-    MAX_PROBED_KEYS,
-    drop_first,
-    find_reports,
-)
-from .losses import (
-    Evidence,
-    Held,
-)
+from .crashes import MAX_PROBED_KEYS, drop_first, find_reports
+from .losses import Evidence, Held
 
 # The holds before the first probe, the second and all later ones. At most three probes
 # are sent in any 24 hours.
