Give an agent's and a peer's waits the time for which the process was busy

Left over from the incident of the request lost beside a change: seven waits of agents, routers and what they share used asyncio's timeout. A process that is busy past it takes its own delay for one of the peer; a drain then cut an attempt whose answer had come.

--- a/packages/agent/src/pulley_agent/app.py
+++ b/packages/agent/src/pulley_agent/app.py
@@ -4,7 +4,7 @@
 import logging
 import secrets
 
-from pulley_base import Clock, configure_logs, log_event, to_seconds
+from pulley_base import Clock, configure_logs, log_event
 from pulley_fleet.common_parts import (
     CommonParts,
     build_parts,
@@ -208,9 +208,9 @@
 ) -> int:
     """Finish the running attempts and export contexts; return the number cut."""
     if exporter.gossip.datagrams is None:
-        return await finish_attempts(sessions, to_seconds(timeout_ms))
+        return await finish_attempts(sessions, timeout_ms)
     leave_gossip(exporter.gossip)
-    finishing = asyncio.create_task(finish_attempts(sessions, to_seconds(timeout_ms)))
+    finishing = asyncio.create_task(finish_attempts(sessions, timeout_ms))
     await export_contexts(exporter)
     n_cut = await finishing
     await export_contexts(exporter)
--- a/packages/agent/src/pulley_agent/chat_lookups.py
+++ b/packages/agent/src/pulley_agent/chat_lookups.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pulley_base import Sentinel, to_seconds
+from pulley_base import Sentinel, time_limit, to_seconds
 from pulley_policy.gates import find_pointer
 from pulley_policy.placement import find_homes
 from pulley_wire import Frame
@@ -70,7 +70,7 @@
         )
         gossip.datagrams.send(peer, Frame(pointer_ask=ask))
     try:
-        async with asyncio.timeout(to_seconds(LOOKUP_TIMEOUT_MS)):
+        async with time_limit(LOOKUP_TIMEOUT_MS):
             for _peer in peers:
                 if endpoint := await answers.get():
                     return endpoint
--- a/packages/agent/src/pulley_agent/claims.py
+++ b/packages/agent/src/pulley_agent/claims.py
@@ -13,6 +13,7 @@
     Reason,
     Sentinel,
     log_event,
+    time_limit,
     to_seconds,
     warn_event,
 )
@@ -145,7 +146,7 @@
         claims.probe_task = asyncio.get_running_loop().create_task(probe_store(claims))
     left_ms = deadline_ms - claims.clock.now_ms()
     try:
-        async with asyncio.timeout(to_seconds(left_ms)):
+        async with time_limit(left_ms):
             await claims.store_up.wait()
     except TimeoutError as error:
         raise make_store_down_refusal() from error
--- a/packages/agent/src/pulley_agent/exports.py
+++ b/packages/agent/src/pulley_agent/exports.py
@@ -10,7 +10,7 @@
 import secrets
 from dataclasses import dataclass, field
 
-from pulley_base import PulleyError, log_event, to_seconds
+from pulley_base import PulleyError, log_event, time_limit, to_seconds
 from pulley_http import Client, fetch
 from pulley_policy.admission import BATCH_PRIORITY, MAX_HOPS
 from pulley_policy.placement import find_home
@@ -82,7 +82,7 @@
         if answer.status != STATUS_OK:
             exporter.n_failures += 1
             return False
-        async with asyncio.timeout(to_seconds(EXPORT_TIMEOUT_MS)):
+        async with time_limit(EXPORT_TIMEOUT_MS):
             status = await import_context(exporter, chat, home, answer.body)
     except (PulleyError, TimeoutError):
         exporter.n_failures += 1
--- a/packages/agent/src/pulley_agent/sessions.py
+++ b/packages/agent/src/pulley_agent/sessions.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pulley_base import Outcome, Reason, to_seconds
+from pulley_base import Outcome, Reason, time_limit, to_seconds
 from pulley_fleet.counters import DROPPED_FRAMES, PEERS_CLOSED
 from pulley_policy.suspects import digest_request
 from pulley_wire import Frame, PeerConnection
@@ -193,14 +193,14 @@
         connection.send(Frame())
 
 
-async def finish_attempts(sessions: Sessions, timeout_s: float) -> int:
+async def finish_attempts(sessions: Sessions, timeout_ms: int) -> int:
     """Wait until all work is done and its answers are acknowledged.
 
-    Returns the number of attempts and streams still open after ``timeout_s``
-    seconds, 0 if all ended.
+    Returns the number of attempts and streams still open after
+    ``timeout_ms``, 0 if all ended.
     """
     try:
-        async with asyncio.timeout(timeout_s):
+        async with time_limit(timeout_ms):
             await asyncio.gather(*(each.task for each in list_running(sessions)))
             await sessions.idle.wait()
             await asyncio.gather(*sessions.claims.release_tasks)
--- a/packages/fleet/src/pulley_fleet/rules_reads.py
+++ b/packages/fleet/src/pulley_fleet/rules_reads.py
@@ -3,7 +3,14 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from pulley_base import ConnectionLost, PulleyError, TimedOut, log_event, to_seconds
+from pulley_base import (
+    ConnectionLost,
+    PulleyError,
+    TimedOut,
+    log_event,
+    time_limit,
+    to_seconds,
+)
 from pulley_platform.stores import KeyValue, Store, read_key
 from pulley_rules.following import read_interval_ms
 from pulley_rules.headers import find_mod_revision, find_revision
@@ -86,7 +93,7 @@
         return
     try:
         connection.send(Frame(rules_ask=RulesAsk(have=follower.rules.revision)))
-        async with asyncio.timeout(to_seconds(FETCH_TIMEOUT_MS)):
+        async with time_limit(FETCH_TIMEOUT_MS):
             await answered.wait()
     except (TimeoutError, PulleyError) as error:
         log_event(logger, "rules_not_fetched", peer=peer, error=repr(error))
--- a/packages/fleet/src/pulley_fleet/statuses.py
+++ b/packages/fleet/src/pulley_fleet/statuses.py
@@ -4,7 +4,13 @@
 import json
 from collections.abc import Callable
 
-from pulley_base import UNAVAILABLE, Clock, PulleyError, Sentinel, to_seconds
+from pulley_base import (
+    UNAVAILABLE,
+    Clock,
+    PulleyError,
+    Sentinel,
+    time_limit,
+)
 from pulley_wire import Frame, FrameStamp, PeerConnection, connect_peer
 from pulley_wire.messages import Status, StatusAsk
 
@@ -42,7 +48,7 @@
         return UNAVAILABLE.because(str(error))
     connection.send(Frame(status_ask=StatusAsk(sequence=1)))
     try:
-        async with asyncio.timeout(to_seconds(STATUS_TIMEOUT_MS)):
+        async with time_limit(STATUS_TIMEOUT_MS):
             return await answer
     except TimeoutError:
         return UNAVAILABLE.because("no answer in time")
--- a/packages/router/src/pulley_router/recovery.py
+++ b/packages/router/src/pulley_router/recovery.py
@@ -14,6 +14,7 @@
     Sentinel,
     TimedOut,
     log_event,
+    time_limit,
     to_seconds,
 )
 from pulley_fleet.claims import execute_steps
@@ -303,7 +304,7 @@
     stream.nonce = claimed.nonce
     stream.assembly = Assembly(stream.attempt)
     try:
-        async with asyncio.timeout(to_seconds(remaining_ms(recovery_context, call))):
+        async with time_limit(remaining_ms(recovery_context, call)):
             connection = await get_connection(recovery_context.peers, claimed.agent)
             result = await request_resume(recovery_context.peers, stream, connection)
     except (ConnectionLost, TimedOut, TimeoutError, ValueError):
