Take the pair of endpoints out of the steps about other attempts

Change: endpoint_pairs.py has the pair, its request and run_pair, which those seven use. All assertions stay. tests/direct/other_attempts: 29 scenarios passed.

--- a/tests/direct/steps/other_attempts.py
+++ b/tests/direct/steps/other_attempts.py
@@ -1,33 +1,29 @@
 """Steps in which another endpoint is asked while the first one is silent."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from unittest.mock import patch
 
 from behave import then, when
-from gated_endpoints import GatedEndpoint, add_gated, release, whole_answer
-from scenes import (
-    CHAT,
-    LOOKUP,
-    ORDER,
-    RouterFixture,
-    call,
-    start_fixture,
-    wait_until_synced,
+from endpoint_pairs import (
+    EARLIER,
+    LATER,
+    PART_KEY,
+    TIMEOUT_MS,
+    keep_held,
+    read_state,
+    run_pair,
+    start_first,
+    start_pair,
+    wait_until_left,
 )
+from gated_endpoints import add_gated, release, whole_answer
+from scenes import wait_until_synced
 from timed_endpoints import answer_head
 
 from pulley_direct.budgets import get_budget
-from pulley_direct.loads import get_state, record_success, start_backoff
 from pulley_policy.crashes import add_report
-from pulley_policy.losses import LostRequest, Suspect
 
-TIMEOUT_MS = 1_800
 MAX_TOOK_MS = 1_500
-MAX_LEFT_S = 0.5
-LIMIT_S = 10
 # Longer than the silence after which another endpoint is asked.
 SILENCE_S = 0.6
 FIRST_BODY = b"id: 1\ndata: first\n\n"
@@ -35,8 +31,6 @@
 SECOND_BODY = b"id: 1\ndata: second\n\n"
 HEAD = answer_head(f"content-length: {len(FIRST_BODY)}\r\n")
 N_SENT_EARLY = 8
-SERVICES = {"lookup": "shop", "order": "shop", "stream": "model"}
-PATHS = {"lookup": LOOKUP, "order": ORDER, "stream": CHAT}
 OPENINGS = {
     "nothing": b"",
     "the head of its answer": HEAD,
@@ -54,91 +48,14 @@
     "answers with an error": (ERROR, False),
 }
 
-PART_KEY = "model/part/aa"
-EARLIER = LostRequest("earlier", (Suspect(PART_KEY, 1), Suspect("another request", 1)))
-LATER = LostRequest("later", (Suspect(PART_KEY, 2), Suspect("a third request", 1)))
-
-
-@dataclass(slots=True)
-class Pair:
-    """A request at a silent endpoint, and a second endpoint that was asked too."""
-
-    fixture: RouterFixture
-    task: asyncio.Task
-    first: GatedEndpoint
-    second: GatedEndpoint
-
-
-@asynccontextmanager
-async def start_first(kind: str, opening: bytes = b"") -> AsyncIterator[Pair]:
-    """Send a request to the first of two endpoints, which is silent."""
-    service = SERVICES[kind]
-    async with asyncio.timeout(LIMIT_S), start_fixture(n_endpoints=0) as fixture:
-        first = await add_gated(fixture, "first", service, opening)
-        second = await add_gated(fixture, "second", service)
-        await wait_until_synced(fixture)
-        loads = fixture.router.loads
-        start_backoff(loads, "second")
-        task = asyncio.create_task(call(fixture, PATHS[kind], timeout_ms=TIMEOUT_MS))
-        await first.asked.wait()
-        record_success(loads, "second")
-        get_state(loads, "first").unreachable = kind == "stream"
-        yield Pair(fixture, task, first, second)
-
-
-@asynccontextmanager
-async def start_pair(
-    kind: str, opening: bytes = b"", *, earlier_crash: bool = False
-) -> AsyncIterator[Pair]:
-    """Send a request to an endpoint that is silent until the second one is asked.
-
-    With ``earlier_crash`` the router learns of another crash in between, with a part of
-    the request.
-    """
-    async with start_first(kind, opening) as pair:
-        if earlier_crash:
-            router = pair.fixture.router
-            evidence = router.fleet_view.crash_log.evidence
-            assert add_report(evidence, EARLIER, router.clock.now_ms())
-        await pair.second.asked.wait()
-        yield pair
-
-
-async def read_state(context, pair: Pair) -> None:
-    """Keep the answer, and what the router still holds of the request."""
-    context.answer = await pair.task
-    await asyncio.sleep(0)
-    keep_held(context, pair.fixture)
-
-
-def keep_held(context, fixture: RouterFixture) -> None:
-    """Keep what the router still counts as in flight, and its endpoints' records."""
-    loads = fixture.router.loads
-    names = [one.name for one in fixture.endpoints]
-    context.in_flight = [get_state(loads, name).in_flight for name in names]
-    context.first_state = get_state(loads, "first")
-
-
-async def wait_until_left(*endpoints: GatedEndpoint) -> bool:
-    """Check whether the router closes the connections to these endpoints at once."""
-    try:
-        async with asyncio.timeout(MAX_LEFT_S):
-            for endpoint in endpoints:
-                await endpoint.left.wait()
-    except TimeoutError:
-        return False
-    return True
-
 
 @when("the second endpoint answers a {kind} after the first one sent {opening}")
 def answer_at_second(context, kind, opening):
-    async def run():
-        async with start_pair(kind, OPENINGS[opening]) as pair:
-            release(pair.second, whole_answer(SECOND_BODY))
-            context.left = await wait_until_left(pair.first)
-            await read_state(context, pair)
+    async def act(pair):
+        release(pair.second, whole_answer(SECOND_BODY))
+        context.left = await wait_until_left(pair.first)
 
-    asyncio.run(run())
+    run_pair(context, kind, act, opening=OPENINGS[opening])
 
 
 @when("the second endpoint answers a lookup between two checks of the first one")
@@ -155,14 +72,12 @@
 
 @when("the first endpoint answers a {kind} of which it had sent {opening}")
 def answer_at_first(context, kind, opening):
-    async def run():
-        async with start_pair(kind, OPENINGS[opening]) as pair:
-            answer = whole_answer(FIRST_BODY)
-            release(pair.first, answer[len(OPENINGS[opening]) :])
-            context.left = await wait_until_left(pair.second)
-            await read_state(context, pair)
+    async def act(pair):
+        answer = whole_answer(FIRST_BODY)
+        release(pair.first, answer[len(OPENINGS[opening]) :])
+        context.left = await wait_until_left(pair.second)
 
-    asyncio.run(run())
+    run_pair(context, kind, act, opening=OPENINGS[opening])
 
 
 async def fail_at(endpoint, end, other, body) -> None:
@@ -175,43 +90,35 @@
 
 @when("the first endpoint of a {kind} {end} and the second one answers")
 def fail_at_first(context, kind, end):
-    async def run():
-        async with start_pair(kind) as pair:
-            await fail_at(pair.first, end, pair.second, SECOND_BODY)
-            await read_state(context, pair)
+    async def act(pair):
+        await fail_at(pair.first, end, pair.second, SECOND_BODY)
 
-    asyncio.run(run())
+    run_pair(context, kind, act)
 
 
 @when("the second endpoint of a {kind} {end} and the first one answers")
 def fail_at_second(context, kind, end):
-    async def run():
-        async with start_pair(kind) as pair:
-            await fail_at(pair.second, end, pair.first, FIRST_BODY)
-            await read_state(context, pair)
+    async def act(pair):
+        await fail_at(pair.second, end, pair.first, FIRST_BODY)
 
-    asyncio.run(run())
+    run_pair(context, kind, act)
 
 
 @when("the second endpoint of a lookup answers with an error and the first one never")
 def never_answer(context):
-    async def run():
-        async with start_pair("lookup") as pair:
-            release(pair.second, ERROR)
-            await read_state(context, pair)
+    async def act(pair):
+        release(pair.second, ERROR)
 
-    asyncio.run(run())
+    run_pair(context, "lookup", act)
 
 
 @when("both endpoints of a {kind} answer at once")
 def answer_at_both(context, kind):
-    async def run():
-        async with start_pair(kind) as pair:
-            release(pair.first, whole_answer(FIRST_BODY))
-            release(pair.second, whole_answer(SECOND_BODY))
-            await read_state(context, pair)
+    async def act(pair):
+        release(pair.first, whole_answer(FIRST_BODY))
+        release(pair.second, whole_answer(SECOND_BODY))
 
-    asyncio.run(run())
+    run_pair(context, kind, act)
 
 
 @when("the caller of a {kind} leaves while both endpoints are at work")
@@ -273,11 +180,10 @@
 
 @when("neither endpoint of a lookup answers")
 def let_both_pass(context):
-    async def run():
-        async with start_pair("lookup") as pair:
-            await read_state(context, pair)
+    async def act(pair):
+        """Release nothing."""
 
-    asyncio.run(run())
+    run_pair(context, "lookup", act)
 
 
 @when("the first endpoint of a stream crashes while the second one is at work")
