Split what a router knows of the fleet from how words of the store change it

Change: fleet_views.py has the state, departures.py the endpoints that leave or may have left, beliefs.py the application of entries. No behaviour changes.

--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -8,8 +8,8 @@
 from pulley_http import Request, Response
 from pulley_policy.crashes import list_quarantined
 
-from .beliefs import configuration_age_ms
 from .counters import render_metrics
+from .fleet_views import configuration_age_ms
 from .loads import estimate_load, is_backing_off
 from .routers import Router
 from .trust import has_fresh_tokens, is_ready
--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -18,10 +18,10 @@
 
 from .admin import answer_operator
 from .announcements import announce
-from .beliefs import FleetView
 from .channels import ChannelPool, close_unusable_idle
 from .counters import UNANSWERED
 from .crash_reports import publish_reports
+from .fleet_views import FleetView
 from .followers import follow_store
 from .front import handle_request
 from .gossip import close_gossip, open_gossip
--- /dev/null
+++ b/packages/direct/src/pulley_direct/departures.py
@@ -0,0 +1,96 @@
+"""Endpoints that leave, or may have left: which of them still take new work."""
+
+import logging
+
+from pulley_base import log_event
+from pulley_policy.homes import Place
+
+from .fleet_views import Departure, FleetView
+from .models import Endpoint
+
+logger = logging.getLogger(__name__)
+
+# Entries that expired during an outage of the store are written again within two
+# seconds of its return.
+LAPSE_GRACE_MS = 2_200
+# How long an endpoint counts as having joined or left recently: contexts that are in
+# use are requested again within this time.
+RECENT_CHANGE_MS = 60_000
+# Endpoints that start this soon after a service's first one count as part of its
+# initial set, not as having joined.
+INITIAL_START_MS = 15_000
+
+
+def usable_endpoints(fleet_view: FleetView, service: str) -> list[Endpoint]:
+    """Return the endpoints of a service that may get new work."""
+    drop_lapsed(fleet_view)
+    return [
+        endpoint
+        for endpoint in fleet_view.endpoints.values()
+        if endpoint.service == service and not endpoint.draining
+    ]
+
+
+def drop_lapsed(fleet_view: FleetView) -> None:
+    """Remove the endpoints that were not listed again in time."""
+    if not fleet_view.lapsed:
+        return
+    now_ms = fleet_view.clock.now_ms()
+    gone = [name for name, until_ms in fleet_view.lapsed.items() if until_ms <= now_ms]
+    for name in gone:
+        drop_endpoint(fleet_view, fleet_view.endpoints[name])
+        log_event(logger, "endpoint_lapsed", endpoint=name)
+
+
+def lapse_grace_end_ms(fleet_view: FleetView) -> int | None:
+    """Return until when a missing entry may be listed again, None if it may not."""
+    if fleet_view.outage_end_ms is None:
+        return None
+    until_ms = fleet_view.outage_end_ms + LAPSE_GRACE_MS
+    return until_ms if fleet_view.clock.now_ms() < until_ms else None
+
+
+def update_departure(fleet_view: FleetView, endpoint: Endpoint) -> None:
+    """Record that an endpoint takes no new work, or that it takes work again."""
+    if endpoint.draining:
+        departure = Departure(endpoint, fleet_view.clock.now_ms())
+        fleet_view.departed.setdefault(endpoint.name, departure)
+    else:
+        fleet_view.departed.pop(endpoint.name, None)
+
+
+def drop_endpoint(fleet_view: FleetView, endpoint: Endpoint) -> None:
+    """Remove an endpoint that is no longer listed, and keep it as recently departed."""
+    del fleet_view.endpoints[endpoint.name]
+    fleet_view.lapsed.pop(endpoint.name, None)
+    departure = Departure(endpoint, fleet_view.clock.now_ms())
+    fleet_view.departed.setdefault(endpoint.name, departure)
+
+
+def service_places(
+    fleet_view: FleetView, service: str, usable: list[Endpoint]
+) -> list[Place]:
+    """Return a service's ``usable`` and recently departed endpoints for ranking."""
+    departed = [one for one in recently_departed(fleet_view) if one.service == service]
+    started = [one.started_ms for one in usable + departed if one.started_ms]
+    joined_after_ms = max(
+        min(started, default=0) + INITIAL_START_MS,
+        fleet_view.wall_clock.now_ms() - RECENT_CHANGE_MS,
+    )
+    places = [
+        Place(one.name, joined=one.started_ms > joined_after_ms) for one in usable
+    ]
+    places += [
+        Place(one.name, usable=False, joined=one.started_ms > joined_after_ms)
+        for one in departed
+    ]
+    return places
+
+
+def recently_departed(fleet_view: FleetView) -> list[Endpoint]:
+    """Return the endpoints that left recently, and drop the older ones."""
+    oldest_ms = fleet_view.clock.now_ms() - RECENT_CHANGE_MS
+    for name, departure in list(fleet_view.departed.items()):
+        if departure.since_ms <= oldest_ms:
+            del fleet_view.departed[name]
+    return [departure.endpoint for departure in fleet_view.departed.values()]
--- /dev/null
+++ b/packages/direct/src/pulley_direct/fleet_views.py
@@ -0,0 +1,56 @@
+"""What a router knows of the fleet: the state that the store's words change."""
+
+from dataclasses import dataclass, field
+
+from pulley_base import Clock, wall_time_ms
+
+from .crash_log import CrashLog
+from .models import Configuration, Endpoint
+from .signals import Signal
+
+
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """An endpoint that takes no new work any more, and since when."""
+
+    endpoint: Endpoint
+    since_ms: int
+
+
+@dataclass(slots=True)
+class FleetView:
+    """The configuration in force, the endpoints and the other routers.
+
+    ``confirmed_ms`` is the latest clock reading at which the store is known to
+    have held nothing newer, None before the first answer. ``lapsed`` holds the
+    endpoints whose entries were missing after an outage of the store, with the
+    clock reading at which they count as removed. ``departed`` holds those that
+    left recently. ``crash_log`` holds what is known of requests that crash endpoints.
+    ``failing_since_ms`` is set while the store does not answer,
+    ``outage_end_ms`` after its last outage. ``wall_clock`` reads the time of day
+    and is used only to tell how long ago an endpoint started.
+    """
+
+    clock: Clock
+    wall_clock: Clock = field(default_factory=lambda: Clock(wall_time_ms))
+    configuration: Configuration | None = None
+    confirmed_ms: int | None = None
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    routers: dict[str, str] = field(default_factory=dict)
+    lapsed: dict[str, int] = field(default_factory=dict)
+    departed: dict[str, Departure] = field(default_factory=dict)
+    crash_log: CrashLog = field(default_factory=CrashLog)
+    failing_since_ms: int | None = None
+    outage_end_ms: int | None = None
+    changed: Signal = field(default_factory=Signal)
+    confirmed: Signal = field(default_factory=Signal)
+
+
+def configuration_age_ms(fleet_view: FleetView) -> int | None:
+    """Return how long ago the configuration was known to be the newest, in ms.
+
+    None if the store has not answered yet.
+    """
+    if fleet_view.confirmed_ms is None:
+        return None
+    return fleet_view.clock.now_ms() - fleet_view.confirmed_ms
--- a/packages/direct/src/pulley_direct/followers.py
+++ b/packages/direct/src/pulley_direct/followers.py
@@ -9,12 +9,12 @@
 from pulley_policy.retries import draw_half_jitter_ms
 
 from .beliefs import (
-    FleetView,
     apply_entries,
     record_store_failure,
     record_store_success,
     replace_entries,
 )
+from .fleet_views import FleetView
 from .store_calls import HISTORY_LOST, Changes, StoreClient
 
 logger = logging.getLogger(__name__)
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -7,9 +7,9 @@
 from pulley_base import Reason, log_event
 from pulley_http import Request, RequestRefused, Response, read_all
 
-from .beliefs import configuration_age_ms
 from .counters import CANCELLED, observe_ms
 from .dispatch import dispatch
+from .fleet_views import configuration_age_ms
 from .jobs import Job
 from .models import Call, Configuration
 from .rotation import can_finish
--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/outcomes.py
@@ -4,7 +4,7 @@
 
 from pulley_base import Reason, log_event
 
-from .beliefs import usable_endpoints
+from .departures import usable_endpoints
 from .jobs import Job
 from .loads import eject_outlier, get_state, record_outcome, start_backoff
 from .models import Endpoint
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -13,7 +13,7 @@
     measure_spread,
 )
 
-from .beliefs import service_places, usable_endpoints
+from .departures import service_places, usable_endpoints
 from .jobs import Job, Placement
 from .loads import estimate_load, is_backing_off, is_eligible
 from .models import Endpoint, PromptPart
--- a/packages/direct/src/pulley_direct/routers.py
+++ b/packages/direct/src/pulley_direct/routers.py
@@ -6,9 +6,9 @@
 from pulley_base import Clock
 from pulley_policy.retries import RetryBudget
 
-from .beliefs import FleetView
 from .channels import ChannelPool
 from .counters import Counters
+from .fleet_views import FleetView
 from .loads import LoadTable
 from .models import HeaderCodec, RouterSettings
 from .routes import RouteIndex
--- a/packages/direct/src/pulley_direct/trust.py
+++ b/packages/direct/src/pulley_direct/trust.py
@@ -1,6 +1,6 @@
 """Whether the router's configuration is recent enough to accept tokens."""
 
-from .beliefs import configuration_age_ms
+from .fleet_views import configuration_age_ms
 from .routers import Router
 
 # Tokens are accepted without a new confirmation for this part of the time within
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -5,8 +5,8 @@
 from pulley_base import PulleyError, time_limit
 from pulley_http.connections import ClientConnection, read_more
 
-from .beliefs import usable_endpoints
 from .budgets import reserve_retry
+from .departures import usable_endpoints
 from .jobs import Job
 from .loads import is_unreachable
 from .models import Endpoint, RetryClass
--- a/tests/direct/steps/crash_reports.py
+++ b/tests/direct/steps/crash_reports.py
@@ -8,8 +8,8 @@
 
 from pulley_base import Clock, to_seconds
 from pulley_direct import crash_reports
-from pulley_direct.beliefs import FleetView
 from pulley_direct.crash_log import CrashLog, apply_reports, record_own_loss
+from pulley_direct.fleet_views import FleetView
 from pulley_direct.models import CrashReports
 from pulley_direct.store_calls import LeaseGranted, StoreCallRefused
 from pulley_policy.crashes import list_quarantined
--- a/tests/direct/steps/listings.py
+++ b/tests/direct/steps/listings.py
@@ -14,7 +14,7 @@
 )
 from scenes import LOOKUP, ORDER, add_endpoint, call, find_endpoints, start_fixture
 
-from pulley_direct.beliefs import usable_endpoints
+from pulley_direct.departures import usable_endpoints
 from pulley_direct.loads import get_state, is_backing_off
 
 
--- a/tests/logs/steps/logs.py
+++ b/tests/logs/steps/logs.py
@@ -15,9 +15,10 @@
 from pulley_base import Clock
 from pulley_base.log_lines import read_lines
 from pulley_direct.admin import answer_operator
-from pulley_direct.beliefs import FleetView, apply_entries, record_store_success
+from pulley_direct.beliefs import apply_entries, record_store_success
 from pulley_direct.channels import ChannelPool
 from pulley_direct.counters import observe_ms
+from pulley_direct.fleet_views import FleetView
 from pulley_direct.loads import LoadTable, get_state
 from pulley_direct.logs import MAX_BURST_LINES, BoundedStream, LineBudget
 from pulley_direct.models import Configuration, Endpoint, RouterSettings
--- a/tests/spreads/steps/hot_endpoints.py
+++ b/tests/spreads/steps/hot_endpoints.py
@@ -10,8 +10,8 @@
 
 from pulley_base import Clock
 from pulley_direct.attempts import record_head
-from pulley_direct.beliefs import FleetView
 from pulley_direct.counters import SENT
+from pulley_direct.fleet_views import FleetView
 from pulley_direct.gossip import receive
 from pulley_direct.jobs import Job
 from pulley_direct.loads import LoadTable, get_state
