Log when an endpoint first says that it leaves, and the revision of its entries

Change: the header of answers is decoded, endpoint_leaving says who told it first, and entries carry the store's revision into the log. Who is used stays as it was.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -22,17 +22,20 @@
     connect_channel,
     take_idle,
 )
+from .departures import record_leaving
 from .exchanges import (
     MAX_BODY_BYTES,
     MAX_PIECES_PER_TURN,
     Exchange,
     failure_reason,
 )
+from .fleet_views import LeavingSource
 from .gossip import tell_load
 from .jobs import AttemptFailed, Job
 from .loads import get_state, record_report
 from .models import AnswerMetadata, AttemptParameters, Endpoint
 from .placing import Target
+from .rejections import MISDIRECTED_STATUS
 from .routers import Router
 from .waits import wait_for_bytes
 
@@ -178,6 +181,17 @@
     tell_load(router, job, endpoint)
 
 
+def hear_leaving(
+    router: Router, endpoint: Endpoint, status: int, metadata: AnswerMetadata
+) -> None:
+    """Record that an endpoint said in an answer, to whatever request, that it leaves.
+
+    The one that rejects a request as misdirected is another one than was asked.
+    """
+    if metadata.leaving and status != MISDIRECTED_STATUS:
+        record_leaving(router.fleet_view, endpoint, LeavingSource.ANSWER)
+
+
 def build_request_headers(
     router: Router,
     job: Job,
@@ -223,9 +237,10 @@
     """
     for _ in range(MAX_SKIPPED_ANSWERS + 1):
         head = await read_head(router, job, channel, endpoint)
+        metadata = router.header_codec.read_answer(head.headers)
+        hear_leaving(router, endpoint, head.status_code, metadata)
         if isinstance(head, h11.InformationalResponse):
             continue
-        metadata = router.header_codec.read_answer(head.headers)
         if is_answer_to_job(job, channel, head.status_code, metadata):
             return head, metadata
         log_event(
--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -69,7 +69,7 @@
     elif isinstance(entry, Endpoint):
         list_endpoint(fleet_view, entry)
     elif isinstance(entry, EndpointRemoved):
-        remove_endpoint(fleet_view, entry.name)
+        remove_endpoint(fleet_view, entry.name, entry.revision)
     elif isinstance(entry, RouterEntry):
         fleet_view.routers[entry.name] = entry.address
     elif isinstance(entry, RouterRemoved):
@@ -107,10 +107,11 @@
             service=endpoint.service,
             address=endpoint.address,
             draining=endpoint.draining,
+            revision=endpoint.revision,
         )
 
 
-def remove_endpoint(fleet_view: FleetView, name: str) -> None:
+def remove_endpoint(fleet_view: FleetView, name: str, revision: int) -> None:
     """Remove an endpoint, or keep it for a grace period after an outage of the store.
 
     A draining endpoint gets no grace period.
@@ -123,4 +124,10 @@
         fleet_view.lapsed[name] = until_ms
     else:
         drop_endpoint(fleet_view, endpoint)
-    log_event(logger, "endpoint_removed", endpoint=name, kept_until_ms=until_ms)
+    log_event(
+        logger,
+        "endpoint_removed",
+        endpoint=name,
+        kept_until_ms=until_ms,
+        revision=revision,
+    )
--- a/packages/direct/src/pulley_direct/departures.py
+++ b/packages/direct/src/pulley_direct/departures.py
@@ -5,7 +5,7 @@
 from pulley_base import log_event
 from pulley_policy.homes import Place
 
-from .fleet_views import Departure, FleetView
+from .fleet_views import Departure, FleetView, Leaving, LeavingSource
 from .models import Endpoint
 
 logger = logging.getLogger(__name__)
@@ -50,9 +50,37 @@
     return until_ms if fleet_view.clock.now_ms() < until_ms else None
 
 
+def record_leaving(
+    fleet_view: FleetView, endpoint: Endpoint, source: LeavingSource
+) -> bool:
+    """Record that an endpoint leaves; return False if that was known."""
+    if is_leaving(fleet_view, endpoint):
+        return False
+    now_ms = fleet_view.clock.now_ms()
+    fleet_view.leaving[endpoint.name] = Leaving(endpoint.started_ms, now_ms)
+    log_event(
+        logger,
+        "endpoint_leaving",
+        endpoint=endpoint.name,
+        service=endpoint.service,
+        source=source,
+    )
+    return True
+
+
+def is_leaving(fleet_view: FleetView, endpoint: Endpoint) -> bool:
+    """Check whether an endpoint has said that it leaves, and not started again since.
+
+    A later start under the same name is another endpoint.
+    """
+    leaving = fleet_view.leaving.get(endpoint.name)
+    return leaving is not None and endpoint.started_ms <= leaving.started_ms
+
+
 def update_departure(fleet_view: FleetView, endpoint: Endpoint) -> None:
     """Record that an endpoint takes no new work, or that it takes work again."""
     if endpoint.draining:
+        record_leaving(fleet_view, endpoint, LeavingSource.STORE)
         departure = Departure(endpoint, fleet_view.clock.now_ms())
         fleet_view.departed.setdefault(endpoint.name, departure)
     else:
--- a/packages/direct/src/pulley_direct/fleet_views.py
+++ b/packages/direct/src/pulley_direct/fleet_views.py
@@ -1,6 +1,7 @@
 """What a router knows of the fleet: the state that the store's words change."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from pulley_base import Clock, wall_time_ms
 
@@ -17,6 +18,24 @@
     since_ms: int
 
 
+class LeavingSource(StrEnum):
+    """Who said that an endpoint leaves: the store's entry, or an answer of its own."""
+
+    STORE = "store"
+    ANSWER = "answer"
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """An endpoint's start, as Unix time in ms, after which it said that it leaves.
+
+    ``heard_ms`` is the clock reading at which the router first heard of it.
+    """
+
+    started_ms: int
+    heard_ms: int
+
+
 @dataclass(slots=True)
 class FleetView:
     """The configuration in force, the endpoints and the other routers.
@@ -25,7 +44,8 @@
     have held nothing newer, None before the first answer. ``lapsed`` holds the
     endpoints whose entries were missing after an outage of the store, with the
     clock reading at which they count as removed. ``departed`` holds those that
-    left recently. ``crash_log`` holds what is known of requests that crash endpoints.
+    left recently, ``leaving`` those that said that they leave. ``crash_log`` holds
+    what is known of requests that crash endpoints.
     ``failing_since_ms`` is set while the store does not answer,
     ``outage_end_ms`` after its last outage. ``wall_clock`` reads the time of day
     and is used only to tell how long ago an endpoint started.
@@ -39,6 +59,7 @@
     routers: dict[str, str] = field(default_factory=dict)
     lapsed: dict[str, int] = field(default_factory=dict)
     departed: dict[str, Departure] = field(default_factory=dict)
+    leaving: dict[str, Leaving] = field(default_factory=dict)
     crash_log: CrashLog = field(default_factory=CrashLog)
     failing_since_ms: int | None = None
     outage_end_ms: int | None = None
--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -90,8 +90,9 @@
 class Endpoint:
     """One endpoint as the platform lists it.
 
-    ``name`` identifies one incarnation: a restarted endpoint has a new name.
-    ``started_ms`` is the Unix time of its start in ms, 0 if unknown.
+    A restarted endpoint has a new name, or its former name and a later start:
+    ``started_ms`` is the Unix time of its start in ms, 0 if unknown. ``revision`` is
+    the store's number of the entry's last change, 0 if unknown.
     """
 
     name: str
@@ -100,13 +101,18 @@
     slots: int = 0
     draining: bool = False
     started_ms: int = 0
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointRemoved:
-    """The platform no longer lists this endpoint."""
+    """The platform no longer lists this endpoint.
+
+    ``revision`` is the store's number of the removal, 0 if unknown.
+    """
 
     name: str
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,7 +218,8 @@
 
     ``request_id`` is the id of the request that it answers, None if absent;
     ``not_run`` says that the endpoint did not run the request, ``encoded`` that
-    the body has a content encoding.
+    the body has a content encoding, ``leaving`` that the endpoint takes no new work
+    any more.
     """
 
     request_id: str | None
@@ -220,6 +227,7 @@
     encoded: bool
     load: ReportedLoad | None = None
     idle_timeout_ms: int | None = None
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
