Give an endpoint no new work once one of its answers says that it leaves

Callers saw: requests went on to an endpoint that had said that it leaves, for as long as its router missed the store's word, and for 2.2 s after the store's return. Cause: a router heard of leaving from the store alone; nothing read what the endpoint's own answers say. Class of fault: a fact that the peer itself states is taken only from a third party, which may be away. A name and a start are kept, so that only a later start under the same name is used again, and the one place that lists usable endpoints goes by it: first attempts, retries, resumptions, attempts beside a silent endpoint. No grace after an outage of the store. Why it works: the answer that binds the router is what it now acts on, before the answer goes on to the caller.

--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -9,6 +9,7 @@
 from pulley_policy.crashes import list_quarantined
 
 from .counters import render_metrics
+from .departures import is_leaving
 from .fleet_views import configuration_age_ms
 from .loads import estimate_load, is_backing_off
 from .routers import Router
@@ -96,7 +97,7 @@
         "name": name,
         "service": endpoint.service,
         "address": endpoint.address,
-        "draining": endpoint.draining,
+        "leaving": is_leaving(router.fleet_view, endpoint),
         "lapsed": name in router.fleet_view.lapsed,
         "held_off": is_backing_off(router.loads, name),
         "load": round(estimate_load(router.loads, name), 1),
--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -21,6 +21,7 @@
 from .channels import ChannelPool, close_unusable_idle
 from .counters import UNANSWERED
 from .crash_reports import publish_reports
+from .departures import forget_gone
 from .fleet_views import FleetView
 from .followers import follow_store
 from .front import handle_request
@@ -165,6 +166,7 @@
         addresses = {one.address for one in router.fleet_view.endpoints.values()}
         close_unusable_idle(router.pool, addresses)
         remove_unlisted(router.loads, listed)
+        forget_gone(router.fleet_view)
 
 
 async def drain(running: RunningRouter) -> None:
--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -6,7 +6,12 @@
 from pulley_base import log_event
 
 from .crash_log import apply_reports
-from .departures import drop_endpoint, lapse_grace_end_ms, update_departure
+from .departures import (
+    drop_endpoint,
+    is_leaving,
+    lapse_grace_end_ms,
+    update_departure,
+)
 from .fleet_views import FleetView, configuration_age_ms
 from .models import (
     Configuration,
@@ -114,13 +119,13 @@
 def remove_endpoint(fleet_view: FleetView, name: str, revision: int) -> None:
     """Remove an endpoint, or keep it for a grace period after an outage of the store.
 
-    A draining endpoint gets no grace period.
+    An endpoint that leaves gets no grace period.
     """
     endpoint = fleet_view.endpoints.get(name)
     if endpoint is None:
         return
     until_ms = lapse_grace_end_ms(fleet_view)
-    if until_ms is not None and not endpoint.draining:
+    if until_ms is not None and not is_leaving(fleet_view, endpoint):
         fleet_view.lapsed[name] = until_ms
     else:
         drop_endpoint(fleet_view, endpoint)
--- a/packages/direct/src/pulley_direct/departures.py
+++ b/packages/direct/src/pulley_direct/departures.py
@@ -19,6 +19,8 @@
 # Endpoints that start this soon after a service's first one count as part of its
 # initial set, not as having joined.
 INITIAL_START_MS = 15_000
+# An older word of the store on an endpoint that is gone comes sooner than this.
+LEAVING_MEMORY_MS = 600_000
 
 
 def usable_endpoints(fleet_view: FleetView, service: str) -> list[Endpoint]:
@@ -27,7 +29,7 @@
     return [
         endpoint
         for endpoint in fleet_view.endpoints.values()
-        if endpoint.service == service and not endpoint.draining
+        if endpoint.service == service and not is_leaving(fleet_view, endpoint)
     ]
 
 
@@ -53,11 +55,15 @@
 def record_leaving(
     fleet_view: FleetView, endpoint: Endpoint, source: LeavingSource
 ) -> bool:
-    """Record that an endpoint leaves; return False if that was known."""
+    """Record that an endpoint leaves; return False if that was known.
+
+    It gets no new work any more until it starts again, whatever is said of it later.
+    """
     if is_leaving(fleet_view, endpoint):
         return False
     now_ms = fleet_view.clock.now_ms()
     fleet_view.leaving[endpoint.name] = Leaving(endpoint.started_ms, now_ms)
+    fleet_view.departed.setdefault(endpoint.name, Departure(endpoint, now_ms))
     log_event(
         logger,
         "endpoint_leaving",
@@ -77,13 +83,20 @@
     return leaving is not None and endpoint.started_ms <= leaving.started_ms
 
 
+def forget_gone(fleet_view: FleetView) -> None:
+    """Forget the unlisted endpoints that said long ago that they leave."""
+    oldest_ms = fleet_view.clock.now_ms() - LEAVING_MEMORY_MS
+    unlisted = fleet_view.leaving.keys() - fleet_view.endpoints.keys()
+    for name in unlisted:
+        if fleet_view.leaving[name].heard_ms < oldest_ms:
+            del fleet_view.leaving[name]
+
+
 def update_departure(fleet_view: FleetView, endpoint: Endpoint) -> None:
     """Record that an endpoint takes no new work, or that it takes work again."""
     if endpoint.draining:
         record_leaving(fleet_view, endpoint, LeavingSource.STORE)
-        departure = Departure(endpoint, fleet_view.clock.now_ms())
-        fleet_view.departed.setdefault(endpoint.name, departure)
-    else:
+    if not is_leaving(fleet_view, endpoint):
         fleet_view.departed.pop(endpoint.name, None)
 
 
