Check once more, as a request is written, that its endpoint has not left

Cause: the endpoint is chosen before the connection opens and nothing looked again. Class of fault: a decision that is older than the act. Evidence: the new scenario failed before: the request ran at the endpoint that had left. Change: the check that a channel is still open, just before the first byte, also asks whether the endpoint still takes work; if not, nothing is sent, no retry is charged and another endpoint is chosen.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -22,7 +22,7 @@
     connect_channel,
     take_idle,
 )
-from .departures import record_leaving
+from .departures import record_leaving, takes_work
 from .exchanges import (
     MAX_BODY_BYTES,
     MAX_PIECES_PER_TURN,
@@ -137,14 +137,7 @@
         method=job.call.method, target=job.call.target, headers=headers
     )
     connection = channel.connection
-    if connection.transport.is_closing():
-        raise AttemptFailed(
-            Reason.CONNECTION_LOST,
-            "closed while idle",
-            endpoint,
-            reached=False,
-            may_have_run=False,
-        )
+    check_sendable(router, channel, endpoint)
     allow_late_reading(channel, len(job.body), left_ms)
     job.sent_to.append(endpoint.name)
     job.addresses.add(endpoint.address)
@@ -172,6 +165,21 @@
     )
 
 
+def check_sendable(router: Router, channel: Channel, endpoint: Endpoint) -> None:
+    """Raise AttemptFailed if a request must not be written any more.
+
+    The endpoint may have left, and the channel may have been closed, since they were
+    chosen.
+    """
+    if not takes_work(router.fleet_view, endpoint):
+        reason, detail = Reason.DRAINING, "left before the request was sent"
+    elif channel.connection.transport.is_closing():
+        reason, detail = Reason.CONNECTION_LOST, "closed while idle"
+    else:
+        return
+    raise AttemptFailed(reason, detail, endpoint, reached=False, may_have_run=False)
+
+
 def record_head(
     router: Router, job: Job, endpoint: Endpoint, metadata: AnswerMetadata
 ) -> None:
--- a/packages/direct/src/pulley_direct/departures.py
+++ b/packages/direct/src/pulley_direct/departures.py
@@ -33,6 +33,13 @@
     ]
 
 
+def takes_work(fleet_view: FleetView, endpoint: Endpoint) -> bool:
+    """Check whether an endpoint that was chosen before may still get new work."""
+    drop_lapsed(fleet_view)
+    listed = endpoint.name in fleet_view.endpoints
+    return listed and not is_leaving(fleet_view, endpoint)
+
+
 def drop_lapsed(fleet_view: FleetView) -> None:
     """Remove the endpoints that were not listed again in time."""
     if not fleet_view.lapsed:
--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/outcomes.py
@@ -15,6 +15,8 @@
 # A missed deadline counts as a failure of the endpoint only after this long; shorter
 # deadlines say little about it.
 MIN_SILENCE_MS = 800
+# None of these shows that an endpoint is faulty.
+HARMLESS_REASONS = (Reason.ENDPOINT_BUSY, Reason.WRONG_ENDPOINT, Reason.DRAINING)
 
 
 def record_failed_attempt(
@@ -41,15 +43,15 @@
 ) -> bool:
     """Check whether a failure shows that the endpoint itself is faulty.
 
-    A full endpoint is not faulty, and a short deadline says little. A silence that
-    has already counted does not count again, nor at the deadline.
+    A full or leaving endpoint is not faulty, and a short deadline says little. A
+    silence that has already counted does not count again, nor at the deadline.
     """
     silent = reason in (Reason.STALLED, Reason.DEADLINE)
     if silent and endpoint.name in job.excluded:
         return False
     if reason is Reason.DEADLINE:
         return router.clock.now_ms() - job.arrived_ms >= MIN_SILENCE_MS
-    return reason not in (Reason.ENDPOINT_BUSY, Reason.WRONG_ENDPOINT)
+    return reason not in HARMLESS_REASONS
 
 
 def count_answer(
--- a/tests/direct/leaving_endpoints.feature
+++ b/tests/direct/leaving_endpoints.feature
@@ -27,6 +27,12 @@
       | an answer with another value        |
       | the rejection of a misdirected request |
 
+  # Guards against a request that is chosen before an endpoint leaves and sent after.
+  Scenario: A request whose connection opens after its endpoint has said that it leaves
+    Given a request that waits for a connection to an endpoint
+    When the endpoint says that it leaves before the connection opens
+    Then the request is answered by the other endpoint and the first one gets nothing
+
   Scenario: All endpoints of a service leave
     Given two endpoints of which both have said that they leave
     When one more request is sent
--- a/tests/direct/steps/leaving_endpoints.py
+++ b/tests/direct/steps/leaving_endpoints.py
@@ -24,6 +24,7 @@
     wait_until_synced,
 )
 
+from pulley_direct import attempts
 from pulley_direct.departures import usable_endpoints
 from pulley_direct.loads import get_state
 from pulley_direct.signals import wait_until
@@ -168,6 +169,49 @@
     assert context.n_late > 0, context.n_late
 
 
+@given("a request that waits for a connection to an endpoint")
+def note_wait(context):
+    context.connect_channel = attempts.connect_channel
+
+
+@when("the endpoint says that it leaves before the connection opens")
+def leave_while_connecting(context):
+    connecting = {}
+
+    async def connect_late(pool, address):
+        channel = await context.connect_channel(pool, address)
+        gate = connecting.setdefault(address, asyncio.Event())
+        await gate.wait()
+        return channel
+
+    async def run():
+        async with start_fixture(n_endpoints=2) as fixture:
+            first, other = find_endpoints(fixture, "shop")
+            attempts.connect_channel = connect_late
+            with busy(fixture, other.name):
+                waiting = asyncio.create_task(call(fixture, ORDER, request_id="late"))
+                while first.address not in connecting:
+                    await asyncio.sleep(0.01)
+                attempts.connect_channel = context.connect_channel
+                first.notices = [NOTICE]
+                await call(fixture, LOOKUP, request_id="teller")
+            connecting[first.address].set()
+            return await waiting, first, other
+
+    try:
+        context.result = asyncio.run(run())
+    finally:
+        attempts.connect_channel = context.connect_channel
+
+
+@then("the request is answered by the other endpoint and the first one gets nothing")
+def check_sent_to_other(context):
+    answer, first, other = context.result
+    assert first.runs["teller"] == 1, first.runs
+    assert answer.status == 200, answer
+    assert other.runs["late"] == 1 and not first.runs["late"], (first.runs, other.runs)
+
+
 @given("two endpoints of which both have said that they leave")
 def note_all_leave(context):
     pass
