Ignore a word of the store about an endpoint that is older than the last one

Callers saw: nothing yet. An endpoint that had been removed was usable again after a read that was behind listed it, and a read that was behind removed one that had joined since. Cause: what was heard last was believed, whatever its age; entries carry the store's revision and nothing compared it. Class of fault: an older word undoes a newer one. Change: the revision of the last word about each endpoint is kept, for ten minutes after its removal; an older entry or removal is ignored and logged. A full read removes what it does not list as of its own revision. That an endpoint leaves is taken from an older entry too.

--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -10,9 +10,14 @@
     drop_endpoint,
     is_leaving,
     lapse_grace_end_ms,
-    update_departure,
+    record_leaving,
+)
+from .fleet_views import (
+    FleetView,
+    LastWord,
+    LeavingSource,
+    configuration_age_ms,
 )
-from .fleet_views import FleetView, configuration_age_ms
 from .models import (
     Configuration,
     CrashReports,
@@ -51,12 +56,18 @@
     fleet_view.confirmed.notify()
 
 
-def replace_entries(fleet_view: FleetView, entries: Iterable[StoreEntry]) -> None:
-    """Apply everything that the store holds, and remove what it no longer lists."""
+def replace_entries(
+    fleet_view: FleetView, entries: Iterable[StoreEntry], revision: int
+) -> None:
+    """Apply everything that the store holds, and remove what it no longer lists.
+
+    ``revision`` is the store's at the time of the read.
+    """
     entries = list(entries)
     listed = {entry.name for entry in entries if isinstance(entry, Endpoint)}
     routers = {entry.name for entry in entries if isinstance(entry, RouterEntry)}
-    missing = [EndpointRemoved(name) for name in fleet_view.endpoints.keys() - listed]
+    unlisted = fleet_view.endpoints.keys() - listed
+    missing = [EndpointRemoved(name, revision) for name in unlisted]
     missing += [RouterRemoved(name) for name in fleet_view.routers.keys() - routers]
     apply_entries(fleet_view, [*entries, *missing])
 
@@ -98,12 +109,39 @@
     )
 
 
+def is_newest_word(fleet_view: FleetView, name: str, revision: int) -> bool:
+    """Check that a word of the store about an endpoint is the newest; remember it.
+
+    A word without a revision counts as the newest.
+    """
+    last = fleet_view.last_words.get(name)
+    if last is not None and 0 < revision < last.revision:
+        log_event(
+            logger,
+            "older_word_ignored",
+            endpoint=name,
+            revision=revision,
+            known_revision=last.revision,
+        )
+        return False
+    fleet_view.last_words[name] = LastWord(revision, fleet_view.clock.now_ms())
+    return True
+
+
 def list_endpoint(fleet_view: FleetView, endpoint: Endpoint) -> None:
-    """Add or update an endpoint's entry."""
+    """Add or update an endpoint's entry, unless it is older than what is known.
+
+    That an endpoint leaves is taken from an older entry as well.
+    """
+    if endpoint.draining:
+        record_leaving(fleet_view, endpoint, LeavingSource.STORE)
+    if not is_newest_word(fleet_view, endpoint.name, endpoint.revision):
+        return
     known = fleet_view.endpoints.get(endpoint.name)
     fleet_view.endpoints[endpoint.name] = endpoint
     fleet_view.lapsed.pop(endpoint.name, None)
-    update_departure(fleet_view, endpoint)
+    if not is_leaving(fleet_view, endpoint):
+        fleet_view.departed.pop(endpoint.name, None)
     if known is None or known.draining != endpoint.draining:
         log_event(
             logger,
@@ -121,6 +159,8 @@
 
     An endpoint that leaves gets no grace period.
     """
+    if not is_newest_word(fleet_view, name, revision):
+        return
     endpoint = fleet_view.endpoints.get(name)
     if endpoint is None:
         return
--- a/packages/direct/src/pulley_direct/departures.py
+++ b/packages/direct/src/pulley_direct/departures.py
@@ -19,8 +19,8 @@
 # Endpoints that start this soon after a service's first one count as part of its
 # initial set, not as having joined.
 INITIAL_START_MS = 15_000
-# An older word of the store on an endpoint that is gone comes sooner than this.
-LEAVING_MEMORY_MS = 600_000
+# An older word about an endpoint that is gone comes sooner than this.
+MEMORY_MS = 600_000
 
 
 def usable_endpoints(fleet_view: FleetView, service: str) -> list[Endpoint]:
@@ -70,7 +70,9 @@
         return False
     now_ms = fleet_view.clock.now_ms()
     fleet_view.leaving[endpoint.name] = Leaving(endpoint.started_ms, now_ms)
-    fleet_view.departed.setdefault(endpoint.name, Departure(endpoint, now_ms))
+    listed = fleet_view.endpoints.get(endpoint.name, endpoint)
+    if listed.started_ms <= endpoint.started_ms:
+        fleet_view.departed.setdefault(endpoint.name, Departure(endpoint, now_ms))
     log_event(
         logger,
         "endpoint_leaving",
@@ -91,20 +93,12 @@
 
 
 def forget_gone(fleet_view: FleetView) -> None:
-    """Forget the unlisted endpoints that said long ago that they leave."""
-    oldest_ms = fleet_view.clock.now_ms() - LEAVING_MEMORY_MS
-    unlisted = fleet_view.leaving.keys() - fleet_view.endpoints.keys()
-    for name in unlisted:
-        if fleet_view.leaving[name].heard_ms < oldest_ms:
-            del fleet_view.leaving[name]
-
-
-def update_departure(fleet_view: FleetView, endpoint: Endpoint) -> None:
-    """Record that an endpoint takes no new work, or that it takes work again."""
-    if endpoint.draining:
-        record_leaving(fleet_view, endpoint, LeavingSource.STORE)
-    if not is_leaving(fleet_view, endpoint):
-        fleet_view.departed.pop(endpoint.name, None)
+    """Forget what was said long ago of endpoints that are no longer listed."""
+    oldest_ms = fleet_view.clock.now_ms() - MEMORY_MS
+    for heard in (fleet_view.leaving, fleet_view.last_words):
+        for name in heard.keys() - fleet_view.endpoints.keys():
+            if heard[name].heard_ms < oldest_ms:
+                del heard[name]
 
 
 def drop_endpoint(fleet_view: FleetView, endpoint: Endpoint) -> None:
--- a/packages/direct/src/pulley_direct/fleet_views.py
+++ b/packages/direct/src/pulley_direct/fleet_views.py
@@ -36,6 +36,14 @@
     heard_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class LastWord:
+    """The store's newest word about an endpoint, and when it was heard, in clock ms."""
+
+    revision: int
+    heard_ms: int
+
+
 @dataclass(slots=True)
 class FleetView:
     """The configuration in force, the endpoints and the other routers.
@@ -44,8 +52,9 @@
     have held nothing newer, None before the first answer. ``lapsed`` holds the
     endpoints whose entries were missing after an outage of the store, with the
     clock reading at which they count as removed. ``departed`` holds those that
-    left recently, ``leaving`` those that said that they leave. ``crash_log`` holds
-    what is known of requests that crash endpoints.
+    left recently, ``leaving`` those that said that they leave, ``last_words`` what the
+    store last said of each. ``crash_log`` holds what is known of requests that crash
+    endpoints.
     ``failing_since_ms`` is set while the store does not answer,
     ``outage_end_ms`` after its last outage. ``wall_clock`` reads the time of day
     and is used only to tell how long ago an endpoint started.
@@ -60,6 +69,7 @@
     lapsed: dict[str, int] = field(default_factory=dict)
     departed: dict[str, Departure] = field(default_factory=dict)
     leaving: dict[str, Leaving] = field(default_factory=dict)
+    last_words: dict[str, LastWord] = field(default_factory=dict)
     crash_log: CrashLog = field(default_factory=CrashLog)
     failing_since_ms: int | None = None
     outage_end_ms: int | None = None
--- a/packages/direct/src/pulley_direct/followers.py
+++ b/packages/direct/src/pulley_direct/followers.py
@@ -110,7 +110,7 @@
         confirmed_ms = started_ms
         changes = await store.read_all()
         end_outage(fleet_view)
-        replace_entries(fleet_view, changes.entries)
+        replace_entries(fleet_view, changes.entries, changes.revision)
     else:
         changes = await store.watch(progress.revision, wait_ms)
         if changes is HISTORY_LOST:
