Tell other routers of an endpoint that says that it leaves

Callers saw: a router whose own answers come from other endpoints goes on sending to one that has told only its neighbours, while the store is away. Cause: each router kept what it heard to itself. Change: the first answer that says so is passed on to twelve other routers as a datagram, with the endpoint's start; only that start counts, and nobody passes it on again. Messages have a module of their own.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -30,7 +30,7 @@
     failure_reason,
 )
 from .fleet_views import LeavingSource
-from .gossip import tell_load
+from .gossip import tell_leaving, tell_load
 from .jobs import AttemptFailed, Job
 from .loads import get_state, record_report
 from .models import AnswerMetadata, AttemptParameters, Endpoint
@@ -192,12 +192,14 @@
 def hear_leaving(
     router: Router, endpoint: Endpoint, status: int, metadata: AnswerMetadata
 ) -> None:
-    """Record that an endpoint said in an answer, to whatever request, that it leaves.
+    """Record and tell that an endpoint said in an answer that it leaves.
 
     The one that rejects a request as misdirected is another one than was asked.
     """
-    if metadata.leaving and status != MISDIRECTED_STATUS:
-        record_leaving(router.fleet_view, endpoint, LeavingSource.ANSWER)
+    if not metadata.leaving or status == MISDIRECTED_STATUS:
+        return
+    if record_leaving(router.fleet_view, endpoint, LeavingSource.ANSWER):
+        tell_leaving(router, endpoint)
 
 
 def build_request_headers(
--- a/packages/direct/src/pulley_direct/fleet_views.py
+++ b/packages/direct/src/pulley_direct/fleet_views.py
@@ -19,10 +19,11 @@
 
 
 class LeavingSource(StrEnum):
-    """Who said that an endpoint leaves: the store's entry, or an answer of its own."""
+    """Who said that an endpoint leaves: its entry, an answer of its own or a peer."""
 
     STORE = "store"
     ANSWER = "answer"
+    PEER = "peer"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/direct/src/pulley_direct/gossip.py
+++ b/packages/direct/src/pulley_direct/gossip.py
@@ -1,18 +1,26 @@
-"""Gossip between routers: datagrams that tell the loads of overloaded endpoints.
+"""Gossip between routers: datagrams with what an endpoint told one of them.
 
-An endpoint reports its load only with its answers, and those of a busy one begin late.
-Of many routers, most would send to it without having heard of its load.
+An endpoint reports its load, and that it leaves, only with its answers. Of many
+routers, most would send to it without having heard of it.
 """
 
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import sample
 
 from pulley_base import ProtocolError, log_event
 
 from .counters import DROPPED, RECEIVED, SENT
+from .departures import record_leaving
+from .fleet_views import LeavingSource
+from .gossip_messages import (
+    LeavingMessage,
+    LoadMessage,
+    Message,
+    decode_message,
+    encode_message,
+)
 from .jobs import Job
 from .loads import get_state, record_load
 from .models import Endpoint
@@ -24,18 +32,6 @@
 MAX_RECEIVERS = 12
 # The load of a busy endpoint changes little in this time.
 TELL_INTERVAL_MS = 100
-MAX_DATAGRAM_BYTES = 512
-# Far more requests than any endpoint holds.
-MAX_LOAD = 1_000_000
-LOAD_KIND = "load"
-
-
-@dataclass(frozen=True, slots=True)
-class LoadMessage:
-    """One datagram: an endpoint and the requests that it reported."""
-
-    endpoint: str
-    n_requests: int
 
 
 class GossipPort(asyncio.DatagramProtocol):
@@ -82,7 +78,18 @@
     if now_ms < state.tell_after_ms or n_requests <= job.placement.bound:
         return
     state.tell_after_ms = now_ms + TELL_INTERVAL_MS
-    data = encode_load(LoadMessage(endpoint.name, n_requests))
+    send_message(router, LoadMessage(endpoint.name, n_requests))
+
+
+def tell_leaving(router: Router, endpoint: Endpoint) -> None:
+    """Tell some routers that an endpoint has just said that it leaves."""
+    if router.gossip is not None:
+        send_message(router, LeavingMessage(endpoint.name, endpoint.started_ms))
+
+
+def send_message(router: Router, message: Message) -> None:
+    """Send a message to some other routers."""
+    data = encode_message(message)
     for address in choose_receivers(router):
         if router.gossip.get_write_buffer_size():
             # The link is full; datagrams must not fill the memory.
@@ -108,7 +115,7 @@
 
 
 def receive(router: Router, data: bytes, source: str) -> None:
-    """Record the load that another router tells.
+    """Record what another router tells of an endpoint.
 
     A datagram is dropped if it does not come from a listed router, is malformed or
     names an endpoint that is not listed.
@@ -116,7 +123,7 @@
     try:
         if source not in router.fleet_view.routers.values():
             raise ProtocolError("not from a router", step="receive", peer=source)
-        message = decode_load(data)
+        message = decode_message(data)
         if message.endpoint not in router.fleet_view.endpoints:
             raise ProtocolError("not an endpoint", step="receive", peer=source)
     except ProtocolError as error:
@@ -124,30 +131,13 @@
         logger.debug("datagram_dropped", extra={"error": str(error)})
         return
     router.counters.gossip[RECEIVED] += 1
-    record_load(router.loads, message.endpoint, message.n_requests)
-
+    apply_message(router, message)
 
-def encode_load(message: LoadMessage) -> bytes:
-    """Return a message as bytes.
-
-    >>> encode_load(LoadMessage("a", 7))
-    b'load a 7'
-    """
-    return f"{LOAD_KIND} {message.endpoint} {message.n_requests}".encode()
 
-
-def decode_load(data: bytes) -> LoadMessage:
-    """Parse a datagram; raises ProtocolError.
-
-    >>> decode_load(b"load a 7")
-    LoadMessage(endpoint='a', n_requests=7)
-    """
-    fields = data[: MAX_DATAGRAM_BYTES + 1].split(b" ")
-    if len(data) > MAX_DATAGRAM_BYTES or len(fields) != 3:
-        raise ProtocolError("wrong size or number of fields", step="decode")
-    kind, name, number = (field.decode("utf-8", "replace") for field in fields)
-    if kind != LOAD_KIND or not (number.isascii() and number.isdecimal()):
-        raise ProtocolError("wrong kind or number", step="decode")
-    if int(number) > MAX_LOAD:
-        raise ProtocolError("too large a load", step="decode")
-    return LoadMessage(name, int(number))
+def apply_message(router: Router, message: Message) -> None:
+    """Record what a message says; another start of an endpoint is not the one meant."""
+    endpoint = router.fleet_view.endpoints[message.endpoint]
+    if isinstance(message, LoadMessage):
+        record_load(router.loads, message.endpoint, message.n_requests)
+    elif message.started_ms == endpoint.started_ms:
+        record_leaving(router.fleet_view, endpoint, LeavingSource.PEER)
--- a/tests/direct/gossip.feature
+++ b/tests/direct/gossip.feature
@@ -6,6 +6,18 @@
     When the home of a prompt reports 40 requests to the first router
     Then the second router sends the prompt to another endpoint
 
+  # Guards against a router that sends to an endpoint of whose leaving only another
+  # router has heard.
+  Scenario: A router learns from another router that an endpoint leaves
+    Given two routers and 4 endpoints
+    When the home of a prompt says to the first router that it leaves
+    Then the second router sends the prompt to another endpoint
+
+  Scenario: A datagram about another start of an endpoint changes nothing
+    Given two routers and 4 endpoints
+    When the second router is told that an earlier start of an endpoint leaves
+    Then it still uses all endpoints
+
   Scenario Outline: A datagram <kind> changes nothing
     Given two routers and 4 endpoints
     When the second router gets a datagram <kind>
@@ -17,6 +29,8 @@
       | about an endpoint that nobody lists |
       | with a negative load               |
       | with an enormous load              |
+      | with a start that is no number     |
+      | with a start that is never         |
       | with a load that is no number      |
       | without a load                     |
       | of another kind                    |
--- a/tests/direct/steps/gossip.py
+++ b/tests/direct/steps/gossip.py
@@ -18,6 +18,7 @@
 from pulley_base import to_seconds
 from pulley_direct.app import close_router, start_router
 from pulley_direct.counters import DROPPED, RECEIVED
+from pulley_direct.departures import usable_endpoints
 from pulley_direct.models import Bounds, RouterSettings
 from pulley_direct.signals import wait_until
 from pulley_http import Client, close_client
@@ -29,6 +30,8 @@
     "with a negative load": b"load model-0 -7",
     "with an enormous load": b"load model-0 1000000000",
     "with a load that is no number": b"load model-0 many",
+    "with a start that is no number": b"leaving model-0 now",
+    "with a start that is never": b"leaving model-0 " + b"9" * 400,
     "without a load": b"load model-0",
     "of another kind": b"lead model-0 7",
     "of bytes that are no text": b"load \xff\xfe 7",
@@ -133,6 +136,42 @@
     context.home, context.chosen = asyncio.run(run())
 
 
+@when("the home of a prompt says to the first router that it leaves")
+def say_leaving(context):
+    async def run():
+        async with start_two(context.n_endpoints) as (fixture, first, second):
+            endpoints = find_endpoints(fixture, "model")
+            await send_prompt(fixture, first, "request-1")
+            (home,) = [one for one in endpoints if one.runs["request-1"]]
+            home.notices = [(b"server-leaving", b"1")]
+            await send_prompt(fixture, first, "request-2")
+            await wait_counted(second, RECEIVED)
+            await send_prompt(fixture, second, "request-3")
+            (chosen,) = [one for one in endpoints if one.runs["request-3"]]
+            return home.name, chosen.name
+
+    context.home, context.chosen = asyncio.run(run())
+
+
+@when("the second router is told that an earlier start of an endpoint leaves")
+def tell_earlier_start(context):
+    async def run():
+        async with start_two(context.n_endpoints) as (_fixture, first, second):
+            view = second.router.fleet_view
+            target = (HOST, second.router.settings.peer_ports[0])
+            started_ms = view.endpoints["model-0"].started_ms
+            first.router.gossip.sendto(b"leaving model-0 %d" % (started_ms - 1), target)
+            await wait_counted(second, RECEIVED)
+            return usable_endpoints(view, "model")
+
+    context.usable = asyncio.run(run())
+
+
+@then("it still uses all endpoints")
+def check_all_used(context):
+    assert len(context.usable) == context.n_endpoints, context.usable
+
+
 @then("the second router sends the prompt to another endpoint")
 def check_other(context):
     assert context.chosen != context.home, context.home
