Keep away from an endpoint for the time that its 503 asks for

Callers saw: nothing yet; the rule is new. A router sent on to an endpoint that had rejected a request with 503 and Retry-After. Cause: nothing read the header; a rejection only excluded the endpoint for the request that it rejected. Class of fault: a wish that the peer states is not kept, as in the incident of leaving endpoints. Change: the endpoint is closed for that time: never chosen, also if no other is left, unlike one in backoff, which the router imposes itself. A shorter pause does not end a longer one, and an entry that lapses does not forget it. If all endpoints are closed, requests are refused at once with the time until the first one opens. Checked again as the request is written.

--- a/packages/base/src/pulley_base/outcomes.py
+++ b/packages/base/src/pulley_base/outcomes.py
@@ -31,6 +31,7 @@
     DEADLINE = "deadline"
     DRAINING = "draining"
     ENDPOINT_BUSY = "endpoint-busy"
+    ENDPOINT_CLOSED = "endpoint-closed"
     ENGINE_CRASHED = "engine-crashed"
     ENGINE_ERROR = "engine-error"
     ENGINE_UNREACHABLE = "engine-unreachable"
--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -32,7 +32,7 @@
 from .fleet_views import LeavingSource
 from .gossip import tell_leaving, tell_load
 from .jobs import AttemptFailed, Job
-from .loads import get_state, record_report
+from .loads import close_endpoint, get_state, is_closed, record_report
 from .models import AnswerMetadata, AttemptParameters, Endpoint
 from .placing import Target
 from .rejections import MISDIRECTED_STATUS
@@ -45,6 +45,7 @@
 # expected one: far more than a sound endpoint sends.
 MAX_SKIPPED_ANSWERS = 16
 FIRST_ERROR_STATUS = 400
+UNAVAILABLE_STATUS = 503
 # Endpoints reset connections over their limit; the rest is for routers that are just
 # starting or stopping, which also hold connections.
 CHANNEL_LIMIT_SHARE = 0.9
@@ -152,7 +153,7 @@
         )
     except PulleyError as error:
         raise AttemptFailed(failure_reason(error), str(error), endpoint) from error
-    record_head(router, job, endpoint, metadata)
+    record_head(router, job, endpoint, head.status_code, metadata)
     answer_headers = [(bytes(key), bytes(value)) for key, value in head.headers]
     return Exchange(
         router=router,
@@ -168,11 +169,13 @@
 def check_sendable(router: Router, channel: Channel, endpoint: Endpoint) -> None:
     """Raise AttemptFailed if a request must not be written any more.
 
-    The endpoint may have left, and the channel may have been closed, since they were
-    chosen.
+    Since they were chosen, the endpoint may have left or asked for a pause, and the
+    channel may have been closed.
     """
     if not takes_work(router.fleet_view, endpoint):
         reason, detail = Reason.DRAINING, "left before the request was sent"
+    elif is_closed(router.loads, endpoint.name):
+        reason, detail = Reason.ENDPOINT_CLOSED, "asked for a pause meanwhile"
     elif channel.connection.transport.is_closing():
         reason, detail = Reason.CONNECTION_LOST, "closed while idle"
     else:
@@ -181,12 +184,30 @@
 
 
 def record_head(
-    router: Router, job: Job, endpoint: Endpoint, metadata: AnswerMetadata
+    router: Router,
+    job: Job,
+    endpoint: Endpoint,
+    status: int,
+    metadata: AnswerMetadata,
 ) -> None:
-    """Record the load reported in an answer's head, and tell other routers of it."""
+    """Record what an answer's head says of its endpoint, and tell its load."""
     job.reported = metadata.load
     record_report(router.loads, endpoint.name, metadata.load)
     tell_load(router, job, endpoint)
+    if status == UNAVAILABLE_STATUS and metadata.retry_after_ms:
+        record_pause(router, job, endpoint, metadata.retry_after_ms)
+
+
+def record_pause(router: Router, job: Job, endpoint: Endpoint, asked_ms: int) -> None:
+    """Record and log that an endpoint asked for no requests for a time in ms."""
+    log_event(
+        logger,
+        "endpoint_closed",
+        request=job.call.request_id,
+        endpoint=endpoint.name,
+        asked_ms=asked_ms,
+        closed_ms=close_endpoint(router.loads, endpoint.name, asked_ms),
+    )
 
 
 def hear_leaving(
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -23,7 +23,7 @@
 from .loads import record_success
 from .models import Endpoint, RetryClass
 from .outcomes import count_answer
-from .placing import Target, choose_target
+from .placing import Target, choose_target, opens_in_ms
 from .rejections import check_answer
 from .resends import retry_denial_reason, should_retry_error
 from .resumptions import resume_stream
@@ -108,9 +108,7 @@
             )
         target = choose_target(router, job)
         if target is None:
-            return fall_back_or_refuse(
-                router, job, Reason.NO_ENDPOINT, "no endpoint is left"
-            )
+            return refuse_without_target(router, job)
         try:
             response = await run_attempt(router, job, target)
         except AttemptFailed as failure:
@@ -121,6 +119,23 @@
             return response
 
 
+def refuse_without_target(router: Router, job: Job) -> Response:
+    """Return an endpoint's error, or refuse a job for which no endpoint can be chosen.
+
+    The caller is told when the first endpoint of the service opens.
+    """
+    closed_ms = opens_in_ms(router, job.service)
+    if closed_ms:
+        return fall_back_or_refuse(
+            router,
+            job,
+            Reason.ENDPOINT_CLOSED,
+            "all endpoints have asked for a pause",
+            retry_after_ms=closed_ms,
+        )
+    return fall_back_or_refuse(router, job, Reason.NO_ENDPOINT, "no endpoint is left")
+
+
 async def recover(router: Router, job: Job, failure: AttemptFailed) -> Response | None:
     """Return the answer of an attempt beside a failed one; None to send the job again.
 
--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -22,6 +22,8 @@
 # every few seconds.
 BACKOFF_INITIAL_MS = 250
 BACKOFF_MAX_MS = 4_000
+# An endpoint that asks for a longer pause is tried after this time.
+MAX_CLOSED_MS = 3_600_000
 
 
 @dataclass(slots=True)
@@ -33,8 +35,10 @@
     ``backoff_until_ms`` the endpoint gets no work unless no other endpoint is
     left. ``unreachable`` says that the last attempt to connect to it failed.
     ``record`` counts its good and bad outcomes; until ``ejected_until_ms`` the
-    endpoint gets no work because it serves far worse than the others. Other routers
-    are not told of its load again before ``tell_after_ms``.
+    endpoint gets no work because it serves far worse than the others. Until
+    ``closed_until_ms`` it gets none because it asked for a pause, also if no other
+    endpoint is left. Other routers are not told of its load again before
+    ``tell_after_ms``.
     """
 
     in_flight: int = 0
@@ -45,6 +49,7 @@
     unreachable: bool = False
     record: Record = field(default_factory=Record)
     ejected_until_ms: int = 0
+    closed_until_ms: int = 0
     tell_after_ms: int = 0
 
 
@@ -142,6 +147,31 @@
     return max(state.backoff_until_ms, state.ejected_until_ms) <= table.clock.now_ms()
 
 
+def close_endpoint(table: LoadTable, name: str, duration_ms: int) -> int:
+    """Give an endpoint no work for the time that it asked for; return that time in ms.
+
+    A longer pause that it asked for before goes on.
+    """
+    state = get_state(table, name)
+    duration_ms = min(duration_ms, MAX_CLOSED_MS)
+    until_ms = table.clock.deadline_ms(duration_ms)
+    state.closed_until_ms = max(state.closed_until_ms, until_ms)
+    return duration_ms
+
+
+def closed_left_ms(table: LoadTable, name: str) -> int:
+    """Return for how long an endpoint still wants no work, 0 if it takes some."""
+    state = table.states.get(name)
+    if state is None:
+        return 0
+    return max(0, state.closed_until_ms - table.clock.now_ms())
+
+
+def is_closed(table: LoadTable, name: str) -> bool:
+    """Check whether an endpoint has asked for a pause that is not over."""
+    return closed_left_ms(table, name) > 0
+
+
 def is_backing_off(table: LoadTable, name: str) -> bool:
     """Check whether an endpoint is in backoff after a failure."""
     state = table.states.get(name)
@@ -155,7 +185,11 @@
 
 
 def remove_unlisted(table: LoadTable, listed: set[str]) -> None:
-    """Remove the states of endpoints that are not listed and have nothing in flight."""
-    idle = (name for name, state in table.states.items() if not state.in_flight)
-    for name in [name for name in idle if name not in listed]:
-        del table.states[name]
+    """Remove the states of unlisted endpoints, unless they still matter.
+
+    They do while a request is in flight or a pause lasts: an endpoint may be listed
+    again.
+    """
+    for name in table.states.keys() - listed:
+        if not table.states[name].in_flight and not is_closed(table, name):
+            del table.states[name]
--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -219,7 +219,7 @@
     ``request_id`` is the id of the request that it answers, None if absent;
     ``not_run`` says that the endpoint did not run the request, ``encoded`` that
     the body has a content encoding, ``leaving`` that the endpoint takes no new work
-    any more.
+    any more. ``retry_after_ms`` is the time after which to come back, None if absent.
     """
 
     request_id: str | None
@@ -228,6 +228,7 @@
     load: ReportedLoad | None = None
     idle_timeout_ms: int | None = None
     leaving: bool = False
+    retry_after_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/outcomes.py
@@ -16,7 +16,12 @@
 # deadlines say little about it.
 MIN_SILENCE_MS = 800
 # None of these shows that an endpoint is faulty.
-HARMLESS_REASONS = (Reason.ENDPOINT_BUSY, Reason.WRONG_ENDPOINT, Reason.DRAINING)
+HARMLESS_REASONS = (
+    Reason.DRAINING,
+    Reason.ENDPOINT_BUSY,
+    Reason.ENDPOINT_CLOSED,
+    Reason.WRONG_ENDPOINT,
+)
 
 
 def record_failed_attempt(
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -15,7 +15,13 @@
 
 from .departures import service_places, usable_endpoints
 from .jobs import Job, Placement
-from .loads import estimate_load, is_backing_off, is_eligible
+from .loads import (
+    closed_left_ms,
+    estimate_load,
+    is_backing_off,
+    is_closed,
+    is_eligible,
+)
 from .models import Endpoint, PromptPart
 from .routers import Router
 
@@ -41,10 +47,15 @@
 def choose_target(router: Router, job: Job) -> Target | None:
     """Choose the target of a job's next attempt, None if no endpoint is left.
 
-    Endpoints in backoff or ejected are chosen only if there is no other.
+    Endpoints in backoff or ejected are chosen only if there is no other, closed ones
+    never.
     """
     usable = usable_endpoints(router.fleet_view, job.service)
-    endpoints = {one.name: one for one in usable if one.name not in job.excluded}
+    endpoints = {
+        one.name: one
+        for one in usable
+        if one.name not in job.excluded and not is_closed(router.loads, one.name)
+    }
     if not endpoints:
         return None
     eligible = {name for name in endpoints if is_eligible(router.loads, name)}
@@ -60,6 +71,15 @@
     return Target(endpoints[chosen.name], placement)
 
 
+def opens_in_ms(router: Router, service: str) -> int | None:
+    """Return when the first endpoint of a service takes work again, in ms from now.
+
+    None if the service has no usable endpoint.
+    """
+    usable = usable_endpoints(router.fleet_view, service)
+    return min((closed_left_ms(router.loads, one.name) for one in usable), default=None)
+
+
 def choose_prompt_target(
     router: Router, job: Job, key: bytes, candidates: set[str], places: list[Place]
 ) -> Target:
@@ -107,13 +127,15 @@
 
 
 def find_available_address(router: Router, names: list[str]) -> str | None:
-    """Return the address of the first endpoint that is listed and not in backoff.
+    """Return the address of the first endpoint that is listed and can be used.
 
-    None if there is none.
+    None if there is none. One in backoff or closed can't be.
     """
     for name in names:
         endpoint = router.fleet_view.endpoints.get(name)
-        if endpoint is not None and not is_backing_off(router.loads, name):
+        if endpoint is None or is_closed(router.loads, name):
+            continue
+        if not is_backing_off(router.loads, name):
             return endpoint.address
     return None
 
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -8,7 +8,7 @@
 from .budgets import reserve_retry
 from .departures import usable_endpoints
 from .jobs import Job
-from .loads import is_unreachable
+from .loads import is_closed, is_unreachable
 from .models import Endpoint, RetryClass
 from .outcomes import record_if_late, time_to_target_ms
 from .routers import Router
@@ -86,10 +86,13 @@
 
 
 def has_other_endpoint(router: Router, job: Job) -> bool:
-    """Check whether the service has a usable endpoint that the job has not tried."""
+    """Check whether the service has an open endpoint that the job has not tried."""
     tried = {*job.sent_to, *job.excluded}
     usable = usable_endpoints(router.fleet_view, job.service)
-    return any(one.name not in tried for one in usable)
+    return any(
+        one.name not in tried and not is_closed(router.loads, one.name)
+        for one in usable
+    )
 
 
 async def read_within(
--- a/tests/direct/steps/leaving_endpoints.py
+++ b/tests/direct/steps/leaving_endpoints.py
@@ -1,10 +1,10 @@
 """Steps about endpoints that say in their answers that they leave."""
 
 import asyncio
-from contextlib import contextmanager
 from types import SimpleNamespace
 
 from behave import given, then, when
+from busy_endpoints import busy
 from pulley_platform_standins.endpoints import Behavior, unlist_endpoint
 from pulley_platform_standins.stores import StoreFault
 from raw_endpoints import (
@@ -26,14 +26,12 @@
 
 from pulley_direct import attempts
 from pulley_direct.departures import usable_endpoints
-from pulley_direct.loads import get_state
 from pulley_direct.signals import wait_until
 from pulley_policy.placement import rank_endpoints
 
 LEAVES = "server-leaving: 1"
 NOTICE = (b"server-leaving", b"1")
 N_REQUESTS = 10
-BUSY_REQUESTS = 5
 EVENT = b"id: 1\ndata: a\n\n"
 OUTAGE_S = 1.3
 
@@ -108,15 +106,6 @@
     return Script([answer_first, answer_others])
 
 
-@contextmanager
-def busy(fixture, name):
-    """Make an endpoint look busy, so that another one is chosen."""
-    state = get_state(fixture.router.loads, name)
-    state.in_flight += BUSY_REQUESTS
-    yield
-    state.in_flight -= BUSY_REQUESTS
-
-
 def parts_at(home, names):
     """Return the parts of a prompt whose home is one of several endpoints."""
     digests = (f"{number:02x}" for number in range(256))
