Log the rate that an endpoint names, and when it names none any more

Change: the header of answers is decoded and kept with the endpoint's state and start; endpoint_limited and endpoint_limit_ended are logged. Who is chosen stays as it was.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -32,6 +32,7 @@
 from .fleet_views import LeavingSource
 from .gossip import tell_leaving, tell_load
 from .jobs import AttemptFailed, Job
+from .limits import hear_limit
 from .loads import close_endpoint, get_state, is_closed, record_report
 from .models import AnswerMetadata, AttemptParameters, Endpoint
 from .placing import Target
@@ -194,6 +195,7 @@
     job.reported = metadata.load
     record_report(router.loads, endpoint.name, metadata.load)
     tell_load(router, job, endpoint)
+    hear_limit(router, endpoint, status, metadata.rate_limit)
     if status == UNAVAILABLE_STATUS and metadata.retry_after_ms:
         record_pause(router, job, endpoint, metadata.retry_after_ms)
 
--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -26,6 +26,17 @@
 MAX_CLOSED_MS = 3_600_000
 
 
+@dataclass(slots=True)
+class RateLimit:
+    """The rate, in requests per second, that an endpoint takes from all routers.
+
+    It holds for one start of the endpoint, which is a Unix time in ms.
+    """
+
+    rate_per_s: float
+    started_ms: int
+
+
 @dataclass(slots=True)
 class EndpointState:
     """One endpoint's state as this router sees it.
@@ -37,8 +48,8 @@
     ``record`` counts its good and bad outcomes; until ``ejected_until_ms`` the
     endpoint gets no work because it serves far worse than the others. Until
     ``closed_until_ms`` it gets none because it asked for a pause, also if no other
-    endpoint is left. Other routers are not told of its load again before
-    ``tell_after_ms``.
+    endpoint is left. ``limit`` is the rate that it has named, None without one. Other
+    routers are not told of its load again before ``tell_after_ms``.
     """
 
     in_flight: int = 0
@@ -50,6 +61,7 @@
     record: Record = field(default_factory=Record)
     ejected_until_ms: int = 0
     closed_until_ms: int = 0
+    limit: RateLimit | None = None
     tell_after_ms: int = 0
 
 
--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from pulley_base import ABSENT, Sentinel
 from pulley_http import Headers, Limits, Request
 from pulley_policy.losses import Clearance, LostRequest
 
@@ -220,6 +221,8 @@
     ``not_run`` says that the endpoint did not run the request, ``encoded`` that
     the body has a content encoding, ``leaving`` that the endpoint takes no new work
     any more. ``retry_after_ms`` is the time after which to come back, None if absent.
+    ``rate_limit`` is the rate, in requests per second, that it takes from all routers
+    together: ABSENT if it names none, UNKNOWN if that can't be read.
     """
 
     request_id: str | None
@@ -228,6 +231,7 @@
     load: ReportedLoad | None = None
     idle_timeout_ms: int | None = None
     leaving: bool = False
+    rate_limit: float | Sentinel = ABSENT
     retry_after_ms: int | None = None
 
 
