Share the rate that an endpoint names out over the routers

Cause: nothing read the limit. A router alone could not keep it either: the sum over all routers counts, and nobody counts. Class of fault: a bound on a sum that each process holds as if it were alone. Change: each router works out its part from the rate and the routers' names. As many routers as the rate has requests a second, and three, are senders and share it equally, by rendezvous hashing; each may save up one request. The others have a short turn now and then. Whoever hears a limit, or its end, first-hand tells twelve others; a peer's word of an end only allows one request, whose answer shows it. Every attempt counts, also resumptions and those beside a silent endpoint. If all endpoints are limited, requests are refused at once with the time until some router may send. A prompt whose home is closed goes to a limited endpoint first. The limit is of one start of the endpoint; what can't be read changes nothing; an error that names none does not end it. Why it works: all senders' saved requests at once and 4 s of the rate are at most five times the rate and three, below six times and five.

--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 from pulley_base import (
     Clock,
@@ -26,6 +27,7 @@
 from .followers import follow_store
 from .front import handle_request
 from .gossip import close_gossip, open_gossip
+from .gossip_receipts import receive
 from .loads import LoadTable, remove_unlisted
 from .models import HeaderCodec, RouterSettings
 from .rotation import LAST_CONNECTIONS_MS
@@ -109,7 +111,7 @@
         settings.ready_address, lambda request: answer_ready(router, request)
     )
     admin_server = await listen_admin(router)
-    await open_gossip(router)
+    await open_gossip(router, partial(receive, router))
     log_event(logger, "started", instance=settings.instance, at_ms=clock.now_ms())
     bounds = settings.bounds
     in_force_ms = min(bounds.configuration_ms, bounds.drain_ms)
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -7,6 +7,7 @@
 from pulley_http import RequestRefused, Response, drop_hop_by_hop_headers
 
 from .attempts import start_exchange
+from .availability import opens_in_ms
 from .bodies import read_whole_body
 from .budgets import earn_retry, spend_retry
 from .crashes import (
@@ -23,7 +24,7 @@
 from .loads import record_success
 from .models import Endpoint, RetryClass
 from .outcomes import count_answer
-from .placing import Target, choose_target, opens_in_ms
+from .placing import Target, choose_target
 from .rejections import check_answer
 from .resends import retry_denial_reason, should_retry_error
 from .resumptions import resume_stream
@@ -130,7 +131,7 @@
             router,
             job,
             Reason.ENDPOINT_CLOSED,
-            "all endpoints have asked for a pause",
+            "all endpoints have asked for a pause or fewer requests",
             retry_after_ms=closed_ms,
         )
     return fall_back_or_refuse(router, job, Reason.NO_ENDPOINT, "no endpoint is left")
--- a/packages/direct/src/pulley_direct/gossip.py
+++ b/packages/direct/src/pulley_direct/gossip.py
@@ -1,7 +1,7 @@
 """Gossip between routers: datagrams with what an endpoint told one of them.
 
-An endpoint reports its load, and that it leaves, only with its answers. Of many
-routers, most would send to it without having heard of it.
+An endpoint reports its load, a limit, and that it leaves, only with its answers. Of
+many routers, most would send to it without having heard of it.
 """
 
 import asyncio
@@ -9,20 +9,20 @@
 from collections.abc import Callable
 from random import sample
 
-from pulley_base import ProtocolError, log_event
+from pulley_base import log_event
 
-from .counters import DROPPED, RECEIVED, SENT
-from .departures import record_leaving
-from .fleet_views import LeavingSource
+from .counters import SENT
 from .gossip_messages import (
+    MAX_RATE_PER_KS,
     LeavingMessage,
+    LimitEndedMessage,
+    LimitMessage,
     LoadMessage,
     Message,
-    decode_message,
     encode_message,
 )
 from .jobs import Job
-from .loads import get_state, record_load
+from .loads import RateLimit, get_state
 from .models import Endpoint
 from .routers import Router
 
@@ -32,6 +32,9 @@
 MAX_RECEIVERS = 12
 # The load of a busy endpoint changes little in this time.
 TELL_INTERVAL_MS = 100
+# A rate that has changed by less is not told again.
+TOLD_RATE_TOLERANCE = 0.25
+TELL_LIMIT_INTERVAL_MS = 1_000
 
 
 class GossipPort(asyncio.DatagramProtocol):
@@ -49,9 +52,11 @@
         logger.debug("datagram_lost", extra={"error": str(error)})
 
 
-async def open_gossip(router: Router) -> None:
+async def open_gossip(router: Router, handle: Callable[[bytes, str], None]) -> None:
     """Open the router's port for datagrams, if its settings name one.
 
+    ``handle`` gets each datagram and the address that it came from.
+
     Without the port the router serves by what it hears itself.
     """
     settings = router.settings
@@ -61,7 +66,7 @@
     loop = asyncio.get_running_loop()
     try:
         router.gossip, _ = await loop.create_datagram_endpoint(
-            lambda: GossipPort(lambda data, source: receive(router, data, source)),
+            lambda: GossipPort(handle),
             local_addr=(settings.ip, port),
         )
     except OSError as error:
@@ -83,12 +88,30 @@
 
 def tell_leaving(router: Router, endpoint: Endpoint) -> None:
     """Tell some routers that an endpoint has just said that it leaves."""
-    if router.gossip is not None:
-        send_message(router, LeavingMessage(endpoint.name, endpoint.started_ms))
+    send_message(router, LeavingMessage(endpoint.name, endpoint.started_ms))
+
+
+def tell_limit(router: Router, endpoint: Endpoint, limit: RateLimit) -> None:
+    """Tell some routers the limit that an endpoint names, if it is new to them."""
+    told, now_ms = limit.told_rate_per_s, router.clock.now_ms()
+    if told is not None:
+        is_same = abs(limit.rate_per_s - told) <= told * TOLD_RATE_TOLERANCE
+        if is_same or now_ms - limit.told_ms < TELL_LIMIT_INTERVAL_MS:
+            return
+    limit.told_rate_per_s, limit.told_ms = limit.rate_per_s, now_ms
+    rate_per_ks = min(MAX_RATE_PER_KS, int(limit.rate_per_s * 1_000))
+    send_message(router, LimitMessage(endpoint.name, endpoint.started_ms, rate_per_ks))
+
+
+def tell_limit_ended(router: Router, endpoint: Endpoint) -> None:
+    """Tell some routers that an endpoint names no limit any more."""
+    send_message(router, LimitEndedMessage(endpoint.name, endpoint.started_ms))
 
 
 def send_message(router: Router, message: Message) -> None:
-    """Send a message to some other routers."""
+    """Send a message to some other routers, if there is a port for it."""
+    if router.gossip is None:
+        return
     data = encode_message(message)
     for address in choose_receivers(router):
         if router.gossip.get_write_buffer_size():
@@ -112,32 +135,3 @@
     chosen = sample(others, min(MAX_RECEIVERS, len(others)))
     parts = [address.rpartition(":") for address in chosen]
     return [(host, int(port)) for host, _, port in parts if port.isdecimal()]
-
-
-def receive(router: Router, data: bytes, source: str) -> None:
-    """Record what another router tells of an endpoint.
-
-    A datagram is dropped if it does not come from a listed router, is malformed or
-    names an endpoint that is not listed.
-    """
-    try:
-        if source not in router.fleet_view.routers.values():
-            raise ProtocolError("not from a router", step="receive", peer=source)
-        message = decode_message(data)
-        if message.endpoint not in router.fleet_view.endpoints:
-            raise ProtocolError("not an endpoint", step="receive", peer=source)
-    except ProtocolError as error:
-        router.counters.gossip[DROPPED] += 1
-        logger.debug("datagram_dropped", extra={"error": str(error)})
-        return
-    router.counters.gossip[RECEIVED] += 1
-    apply_message(router, message)
-
-
-def apply_message(router: Router, message: Message) -> None:
-    """Record what a message says; another start of an endpoint is not the one meant."""
-    endpoint = router.fleet_view.endpoints[message.endpoint]
-    if isinstance(message, LoadMessage):
-        record_load(router.loads, message.endpoint, message.n_requests)
-    elif message.started_ms == endpoint.started_ms:
-        record_leaving(router.fleet_view, endpoint, LeavingSource.PEER)
--- a/packages/direct/src/pulley_direct/gossip_messages.py
+++ b/packages/direct/src/pulley_direct/gossip_messages.py
@@ -2,11 +2,11 @@
 
 >>> encode_message(LoadMessage("a", 7))
 b'load a 7'
->>> decode_message(b"leaving a 1700000000000")
-LeavingMessage(endpoint='a', started_ms=1700000000000)
+>>> decode_message(b"limit a 1700000000000 4900")
+LimitMessage(endpoint='a', started_ms=1700000000000, rate_per_ks=4900)
 """
 
-from dataclasses import astuple, dataclass
+from dataclasses import astuple, dataclass, fields
 
 from pulley_base import ProtocolError
 
@@ -15,6 +15,8 @@
 MAX_LOAD = 1_000_000
 # Unix time in ms, some thousand years ahead.
 MAX_TIME_MS = 10**14
+# More than any endpoint serves.
+MAX_RATE_PER_KS = 10**12
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,27 +35,62 @@
     started_ms: int
 
 
-Message = LoadMessage | LeavingMessage
+@dataclass(frozen=True, slots=True)
+class LimitMessage:
+    """An endpoint that named a limit, its start, and requests per 1,000 seconds."""
+
+    endpoint: str
+    started_ms: int
+    rate_per_ks: int
+
+
+@dataclass(frozen=True, slots=True)
+class LimitEndedMessage:
+    """An endpoint that names no limit any more, and its start."""
+
+    endpoint: str
+    started_ms: int
+
+
+Message = LoadMessage | LeavingMessage | LimitMessage | LimitEndedMessage
 
-KINDS = {LoadMessage: "load", LeavingMessage: "leaving"}
-MAX_VALUES = {"load": MAX_LOAD, "leaving": MAX_TIME_MS}
-TYPES = {kind: message_type for message_type, kind in KINDS.items()}
+TYPES = {
+    "load": LoadMessage,
+    "leaving": LeavingMessage,
+    "limit": LimitMessage,
+    "no-limit": LimitEndedMessage,
+}
+KINDS = {message_type: kind for kind, message_type in TYPES.items()}
+MAX_VALUES = {
+    "n_requests": MAX_LOAD,
+    "started_ms": MAX_TIME_MS,
+    "rate_per_ks": MAX_RATE_PER_KS,
+}
 
 
 def encode_message(message: Message) -> bytes:
     """Return a message as one datagram."""
-    fields = (KINDS[type(message)], *astuple(message))
-    return " ".join(map(str, fields)).encode()
+    words = (KINDS[type(message)], *astuple(message))
+    return " ".join(map(str, words)).encode()
 
 
 def decode_message(data: bytes) -> Message:
     """Parse a datagram; raises ProtocolError with the step ``decode``."""
-    fields = data[: MAX_DATAGRAM_BYTES + 1].split(b" ")
-    if len(data) > MAX_DATAGRAM_BYTES or len(fields) != 3:
-        raise ProtocolError("wrong size or number of fields", step="decode")
-    kind, name, number = (field.decode("utf-8", "replace") for field in fields)
-    if kind not in TYPES or not (number.isascii() and number.isdecimal()):
-        raise ProtocolError("wrong kind or number", step="decode")
-    if int(number) > MAX_VALUES[kind]:
-        raise ProtocolError("too large a number", step="decode")
-    return TYPES[kind](name, int(number))
+    if len(data) > MAX_DATAGRAM_BYTES:
+        raise ProtocolError("too long", step="decode")
+    kind, *words = data.decode("utf-8", "replace").split(" ")
+    if kind not in TYPES:
+        raise ProtocolError("unknown kind", step="decode")
+    names = [field.name for field in fields(TYPES[kind])]
+    if len(words) != len(names):
+        raise ProtocolError("wrong number of fields", step="decode")
+    endpoint, *numbers = words
+    values = map(decode_number, names[1:], numbers)
+    return TYPES[kind](endpoint, *values)
+
+
+def decode_number(name: str, text: str) -> int:
+    """Parse a number, from 0 to the largest value of its field."""
+    if not (text.isascii() and text.isdecimal()) or int(text) > MAX_VALUES[name]:
+        raise ProtocolError(f"not a valid {name}", step="decode")
+    return int(text)
--- a/packages/direct/src/pulley_direct/limits.py
+++ b/packages/direct/src/pulley_direct/limits.py
@@ -1,9 +1,24 @@
-"""Rates that endpoints name in their answers, for all routers together."""
+"""Rates that endpoints name in their answers, for all routers together.
+
+Each router keeps to its own part of such a rate, see ``pulley_policy.rate_shares``.
+"""
 
 import logging
+from random import random
 
 from pulley_base import ABSENT, UNKNOWN, Sentinel, log_event, warn_event
+from pulley_policy.buckets import MS_PER_S
+from pulley_policy.rate_shares import (
+    SenderAllowance,
+    allow_one,
+    choose_role,
+    sends_in_ms,
+    take_request,
+    update_allowance,
+)
 
+from .budgets import count_routers
+from .gossip import tell_limit, tell_limit_ended
 from .loads import RateLimit, get_state
 from .models import Endpoint
 from .routers import Router
@@ -11,12 +26,19 @@
 logger = logging.getLogger(__name__)
 
 FIRST_ERROR_STATUS = 400
+# The longest key, in bytes, that ranks routers for an endpoint.
+MAX_KEY_BYTES = 64
+# How often a router's part of a rate follows the number of routers.
+SHARE_INTERVAL_MS = 2_000
+# A peer's word on an endpoint counts only if the router itself has heard nothing from
+# the endpoint for this long: datagrams may be late.
+FIRST_HAND_MS = 1_000
 
 
 def hear_limit(
     router: Router, endpoint: Endpoint, status: int, rate_limit: float | Sentinel
 ) -> None:
-    """Record the limit that an endpoint names in an answer, or that it names none.
+    """Record and tell the limit that an endpoint names in an answer, or that it ends.
 
     An error that names none does not end a limit, and one that can't be read changes
     nothing.
@@ -24,9 +46,34 @@
     if rate_limit is UNKNOWN:
         warn_event(logger, "limit_unreadable", endpoint=endpoint.name)
     elif rate_limit is not ABSENT:
-        record_limit(router, endpoint, rate_limit)
-    elif status < FIRST_ERROR_STATUS:
+        limit = record_limit(router, endpoint, rate_limit)
+        limit.heard_ms = router.clock.now_ms()
+        tell_limit(router, endpoint, limit)
+    elif status < FIRST_ERROR_STATUS and current_limit(router, endpoint) is not None:
         end_limit(router, endpoint)
+        tell_limit_ended(router, endpoint)
+
+
+def hear_peer_limit(router: Router, endpoint: Endpoint, rate_per_s: float) -> None:
+    """Record a limit of which a peer has heard."""
+    limit = current_limit(router, endpoint)
+    if limit is None or is_second_hand(router, limit):
+        record_limit(router, endpoint, rate_per_s)
+
+
+def hear_peer_limit_ended(router: Router, endpoint: Endpoint) -> None:
+    """Allow one request to an endpoint whose limit has ended, as a peer tells.
+
+    Its answer shows whether that is so.
+    """
+    limit = current_limit(router, endpoint)
+    if limit is not None and is_second_hand(router, limit):
+        allow_one(limit.allowance, router.clock.now_ms())
+
+
+def is_second_hand(router: Router, limit: RateLimit) -> bool:
+    """Check that a limit was not heard from the endpoint itself lately."""
+    return router.clock.now_ms() - limit.heard_ms >= FIRST_HAND_MS
 
 
 def current_limit(router: Router, endpoint: Endpoint) -> RateLimit | None:
@@ -38,26 +85,81 @@
     return limit
 
 
-def record_limit(router: Router, endpoint: Endpoint, rate_per_s: float) -> None:
+def record_limit(router: Router, endpoint: Endpoint, rate_per_s: float) -> RateLimit:
     """Record the rate that an endpoint takes; log it if there was no limit before."""
     limit = current_limit(router, endpoint)
-    if limit is not None:
+    if limit is None:
+        limit = RateLimit(rate_per_s, endpoint.started_ms)
+        get_state(router.loads, endpoint.name).limit = limit
+        update_share(router, endpoint, limit)
+        log_limit(router, endpoint, limit)
+    elif limit.rate_per_s != rate_per_s:
         limit.rate_per_s = rate_per_s
-        return
-    state = get_state(router.loads, endpoint.name)
-    state.limit = RateLimit(rate_per_s, endpoint.started_ms)
+        update_share(router, endpoint, limit)
+    return limit
+
+
+def update_share(router: Router, endpoint: Endpoint, limit: RateLimit) -> None:
+    """Work out this router's part of a limit."""
+    now_ms = router.clock.now_ms()
+    role = choose_role(
+        limit.rate_per_s,
+        endpoint.name.encode()[:MAX_KEY_BYTES],
+        router.settings.instance,
+        router.fleet_view.routers.keys(),
+        count_sharing_routers(router),
+    )
+    limit.allowance = update_allowance(limit.allowance, role, now_ms, random)
+    limit.shared_ms = now_ms
+
+
+def count_sharing_routers(router: Router) -> int:
+    """Return how many routers share a limit; more than are known just after a start."""
+    if router.settings.instance in router.fleet_view.routers:
+        return len(router.fleet_view.routers)
+    return count_routers(router)
+
+
+def log_limit(router: Router, endpoint: Endpoint, limit: RateLimit) -> None:
     log_event(
         logger,
         "endpoint_limited",
         endpoint=endpoint.name,
         service=endpoint.service,
-        rate_per_s=rate_per_s,
+        rate_per_s=limit.rate_per_s,
+        n_routers=count_sharing_routers(router),
+        is_sender=isinstance(limit.allowance, SenderAllowance),
     )
 
 
 def end_limit(router: Router, endpoint: Endpoint) -> None:
     """Record that an endpoint names no limit any more."""
-    if current_limit(router, endpoint) is None:
-        return
     get_state(router.loads, endpoint.name).limit = None
     log_event(logger, "endpoint_limit_ended", endpoint=endpoint.name)
+
+
+def limit_left_ms(router: Router, endpoint: Endpoint) -> float:
+    """Return when this router may send to an endpoint, in ms from now; 0 if at once."""
+    limit = current_limit(router, endpoint)
+    if limit is None:
+        return 0.0
+    now_ms = router.clock.now_ms()
+    if now_ms - limit.shared_ms >= SHARE_INTERVAL_MS:
+        update_share(router, endpoint, limit)
+    return sends_in_ms(limit.allowance, now_ms)
+
+
+def fleet_left_ms(router: Router, endpoint: Endpoint) -> float:
+    """Return when some router may send to an endpoint, in ms from now; 0 if at once."""
+    left_ms = limit_left_ms(router, endpoint)
+    limit = current_limit(router, endpoint)
+    if limit is None or not limit.rate_per_s:
+        return left_ms
+    return min(left_ms, MS_PER_S / limit.rate_per_s)
+
+
+def count_request(router: Router, endpoint: Endpoint) -> None:
+    """Count a request that is about to be sent against its endpoint's limit."""
+    limit = current_limit(router, endpoint)
+    if limit is not None:
+        take_request(limit.allowance, router.clock.now_ms())
--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -11,6 +11,7 @@
     may_eject,
     record_outcomes,
 )
+from pulley_policy.rate_shares import Allowance
 from pulley_policy.retries import double_ms
 
 from .models import ReportedLoad
@@ -24,17 +25,27 @@
 BACKOFF_MAX_MS = 4_000
 # An endpoint that asks for a longer pause is tried after this time.
 MAX_CLOSED_MS = 3_600_000
+# The limit of an endpoint that is not listed is kept for this long.
+LIMIT_MEMORY_MS = 60_000
 
 
 @dataclass(slots=True)
 class RateLimit:
     """The rate, in requests per second, that an endpoint takes from all routers.
 
-    It holds for one start of the endpoint, which is a Unix time in ms.
+    It holds for one start of the endpoint, a Unix time in ms. ``allowance`` is this
+    router's part, worked out at ``shared_ms``. ``heard_ms`` is the clock reading of the
+    last answer that named it, ``told_rate_per_s`` what other routers were told at
+    ``told_ms``.
     """
 
     rate_per_s: float
     started_ms: int
+    allowance: Allowance | None = None
+    shared_ms: int = 0
+    heard_ms: int = 0
+    told_rate_per_s: float | None = None
+    told_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -184,6 +195,12 @@
     return closed_left_ms(table, name) > 0
 
 
+def has_limit(table: LoadTable, name: str) -> bool:
+    """Check whether an endpoint has named the rate that it takes."""
+    state = table.states.get(name)
+    return state is not None and state.limit is not None
+
+
 def is_backing_off(table: LoadTable, name: str) -> bool:
     """Check whether an endpoint is in backoff after a failure."""
     state = table.states.get(name)
@@ -199,9 +216,12 @@
 def remove_unlisted(table: LoadTable, listed: set[str]) -> None:
     """Remove the states of unlisted endpoints, unless they still matter.
 
-    They do while a request is in flight or a pause lasts: an endpoint may be listed
-    again.
+    They do while a request is in flight, a pause lasts or a limit was named lately: an
+    endpoint may be listed again.
     """
+    named_after_ms = table.clock.now_ms() - LIMIT_MEMORY_MS
     for name in table.states.keys() - listed:
-        if not table.states[name].in_flight and not is_closed(table, name):
+        state = table.states[name]
+        named = state.limit is not None and state.limit.heard_ms > named_after_ms
+        if not (state.in_flight or named or is_closed(table, name)):
             del table.states[name]
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -13,11 +13,13 @@
     measure_spread,
 )
 
+from .availability import is_open
 from .departures import service_places, usable_endpoints
 from .jobs import Job, Placement
+from .limits import count_request
 from .loads import (
-    closed_left_ms,
     estimate_load,
+    has_limit,
     is_backing_off,
     is_closed,
     is_eligible,
@@ -48,13 +50,21 @@
     """Choose the target of a job's next attempt, None if no endpoint is left.
 
     Endpoints in backoff or ejected are chosen only if there is no other, closed ones
-    never.
+    never. The attempt counts against the endpoint's limit at once.
     """
+    target = find_target(router, job)
+    if target is not None:
+        count_request(router, target.endpoint)
+    return target
+
+
+def find_target(router: Router, job: Job) -> Target | None:
+    """Find the target of a job's next attempt, None if no endpoint is left."""
     usable = usable_endpoints(router.fleet_view, job.service)
     endpoints = {
         one.name: one
         for one in usable
-        if one.name not in job.excluded and not is_closed(router.loads, one.name)
+        if one.name not in job.excluded and is_open(router, one)
     }
     if not endpoints:
         return None
@@ -71,15 +81,6 @@
     return Target(endpoints[chosen.name], placement)
 
 
-def opens_in_ms(router: Router, service: str) -> int | None:
-    """Return when the first endpoint of a service takes work again, in ms from now.
-
-    None if the service has no usable endpoint.
-    """
-    usable = usable_endpoints(router.fleet_view, service)
-    return min((closed_left_ms(router.loads, one.name) for one in usable), default=None)
-
-
 def choose_prompt_target(
     router: Router, job: Job, key: bytes, candidates: set[str], places: list[Place]
 ) -> Target:
@@ -91,7 +92,7 @@
     placed; if there are none, of those that may hold its first part.
     """
     endpoints = router.fleet_view.endpoints
-    ordered = [name for name in order_places(key, places) if name in candidates]
+    ordered = order_candidates(router, key, candidates, places)
     options = [make_option(router, endpoints[name]) for name in ordered]
     spread = measure_spread(options, router.settings.bounds.load_factor)
     option = choose_warm(options, spread)
@@ -106,6 +107,21 @@
     )
 
 
+def order_candidates(
+    router: Router, key: bytes, candidates: set[str], places: list[Place]
+) -> list[str]:
+    """Return the candidates in a prompt's order, its home first if that is one.
+
+    If it is not, those come first that have named a limit: what they take of it is
+    lost unless it is used, and the others get the rest anyway.
+    """
+    ranked = order_places(key, places)
+    ordered = [name for name in ranked if name in candidates]
+    if ordered[0] == ranked[0]:
+        return ordered
+    return sorted(ordered, key=lambda name: not has_limit(router.loads, name))
+
+
 def describe_placement(
     chosen: Option, spread: Spread, rank: int | None = None
 ) -> Placement:
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -5,10 +5,11 @@
 from pulley_base import PulleyError, time_limit
 from pulley_http.connections import ClientConnection, read_more
 
+from .availability import is_open
 from .budgets import reserve_retry
 from .departures import usable_endpoints
 from .jobs import Job
-from .loads import is_closed, is_unreachable
+from .loads import is_unreachable
 from .models import Endpoint, RetryClass
 from .outcomes import record_if_late, time_to_target_ms
 from .routers import Router
@@ -89,10 +90,7 @@
     """Check whether the service has an open endpoint that the job has not tried."""
     tried = {*job.sent_to, *job.excluded}
     usable = usable_endpoints(router.fleet_view, job.service)
-    return any(
-        one.name not in tried and not is_closed(router.loads, one.name)
-        for one in usable
-    )
+    return any(one.name not in tried and is_open(router, one) for one in usable)
 
 
 async def read_within(
