Read odd entries of the store as entries that name nothing

Reported by others: one odd entry among the endpoints' ended the machines that read the list, or stopped them following it. Here: a number of 1e999 in an entry raised OverflowError out of the whole read, each time anew, so that the router followed nothing any more. Listed as usable were slots of 10^400 (OverflowError for each request of the service), ports 70000 and 0, digits of another script, a line break in the address, names that no header can carry. A router's entry with the port 99999 closed the datagram socket for good. Cause: types were checked at the border, ranges were not. Class of fault: a value is taken as valid that the code behind can't use. A port for datagrams that is closed by an error is logged.

--- a/packages/base/src/pulley_base/__init__.py
+++ b/packages/base/src/pulley_base/__init__.py
@@ -1,6 +1,6 @@
 """Clock, errors, sentinels, logs, outcomes and settings shared by all packages."""
 
-from .addresses import split_address
+from .addresses import is_address, is_ip, is_port, split_address
 from .clock import Clock, boot_time_ms, to_seconds, wall_time_ms
 from .errors import (
     ConnectionLost,
@@ -29,6 +29,9 @@
     "UNKNOWN",
     "boot_time_ms",
     "configure_logs",
+    "is_address",
+    "is_ip",
+    "is_port",
     "log_event",
     "split_address",
     "time_limit",
--- a/packages/direct/src/pulley_direct/gossip.py
+++ b/packages/direct/src/pulley_direct/gossip.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from random import sample
 
-from pulley_base import log_event
+from pulley_base import log_event, split_address, warn_event
 
 from .counters import SENT
 from .gossip_messages import (
@@ -51,6 +51,11 @@
         """Log that a receiver can't be reached; its datagram is lost."""
         logger.debug("datagram_lost", extra={"error": str(error)})
 
+    def connection_lost(self, error: Exception | None) -> None:
+        """Log that the port was closed by an error: no more is told or heard."""
+        if error is not None:
+            warn_event(logger, "gossip_lost", error=repr(error))
+
 
 async def open_gossip(router: Router, handle: Callable[[bytes, str], None]) -> None:
     """Open the router's port for datagrams, if its settings name one.
@@ -131,7 +136,10 @@
 def choose_receivers(router: Router) -> list[tuple[str, int]]:
     """Return the hosts and ports of some other routers, at random."""
     entries = router.fleet_view.routers.items()
-    others = [address for name, address in entries if name != router.settings.instance]
-    chosen = sample(others, min(MAX_RECEIVERS, len(others)))
-    parts = [address.rpartition(":") for address in chosen]
-    return [(host, int(port)) for host, _, port in parts if port.isdecimal()]
+    others = [
+        split_address(address)
+        for name, address in entries
+        if name != router.settings.instance
+    ]
+    reachable = [(host, port) for host, port in others if port]
+    return sample(reachable, min(MAX_RECEIVERS, len(reachable)))
--- a/packages/direct/src/pulley_direct/models.py
+++ b/packages/direct/src/pulley_direct/models.py
@@ -118,7 +118,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterEntry:
-    """Another router of the fleet, and the address of its peer port."""
+    """Another router of the fleet, and the address of its peer port, 0 for none."""
 
     name: str
     address: str
--- a/packages/platform/src/pulley_platform/instances.py
+++ b/packages/platform/src/pulley_platform/instances.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
-from pulley_base import UNAVAILABLE, PulleyError, Sentinel, warn_event
+from pulley_base import UNAVAILABLE, PulleyError, Sentinel, is_address, warn_event
 from pulley_http import Client, fetch, find_header
 
 LIST_PATH = "/instances"
@@ -102,7 +102,7 @@
     """
     try:
         document = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadList("invalid JSON", step="instances", peer=peer) from error
     if not isinstance(document, list):
         raise BadList("not a JSON list", step="instances", peer=peer)
@@ -142,11 +142,3 @@
     return Instance(
         target, labels.get("service", ""), labels.get("data_centre", ""), state, role
     )
-
-
-def is_address(target: object) -> bool:
-    """Check whether a target is a string of the form host:port, port 1 to 65535."""
-    if not isinstance(target, str):
-        return False
-    host, _, port = target.rpartition(":")
-    return bool(host) and port.isdecimal() and 0 < int(port) < 65_536
