Take in a stop only what can be answered, and answer all that was taken

Reported by others: in a planned stop, requests that came late in the grace period were taken and passed on, and cut with no answer at its end. Here: a request was taken if its route's timeout ended before the kill, though connections are closed 0.3 s earlier; an order that came in the first 2.7 s was taken whatever its timeout; whatever was still waiting at the end had its connection closed with no answer. A lookup that could be answered was refused for its route's timeout, though its caller's was shorter. Cause: the check compared another time than the one at which the router stops answering. Class of fault: two places that each have their own end of the stop. Change: one module has the times of a stop.

--- a/packages/direct/src/pulley_direct/answer_ends.py
+++ b/packages/direct/src/pulley_direct/answer_ends.py
@@ -12,6 +12,7 @@
 from .crash_probes import ProbeResult, probe_endpoint
 from .exchanges import Exchange
 from .jobs import Job
+from .rotation import time_left_ms
 from .waits import AnswerTimeout
 
 logger = logging.getLogger(__name__)
@@ -52,7 +53,7 @@
 
     Raises AnswerTimeout at the job's deadline.
     """
-    left_ms = max(0, job.deadline_ms - exchange.router.clock.now_ms())
+    left_ms = max(0, time_left_ms(exchange.router, job))
     result = ProbeResult.UNREACHABLE
     try:
         async with time_limit(left_ms, 0):
--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -30,7 +30,7 @@
 from .gossip_receipts import receive
 from .loads import LoadTable, remove_unlisted
 from .models import HeaderCodec, RouterSettings
-from .rotation import LAST_CONNECTIONS_MS
+from .rotation import LAST_CONNECTIONS_MS, SHUTDOWN_MARGIN_MS
 from .routers import Router
 from .store_calls import StoreClient
 from .trust import is_ready
@@ -38,8 +38,6 @@
 logger = logging.getLogger(__name__)
 
 READY_PATH = "/readyz"
-# Time reserved for closing the remaining connections before the process is killed.
-SHUTDOWN_MARGIN_MS = 300
 DRAIN_POLL_MS = 50
 # A settings file that changes without a signal is reloaded within this time.
 SETTINGS_POLL_MS = 1_000
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -28,6 +28,7 @@
 from .rejections import check_answer
 from .resends import retry_denial_reason, should_retry_error
 from .resumptions import resume_stream
+from .rotation import time_left_ms
 from .routers import Router
 from .streams import EventStream, open_stream
 from .takeovers import has_other_answer, stop_other, take_other_answer
@@ -257,7 +258,7 @@
     """
     if job.fallback_response is not None:
         return job.fallback_response
-    past_deadline = job.deadline_ms <= router.clock.now_ms()
+    past_deadline = time_left_ms(router, job) <= 0
     if job.may_have_run:
         status = 504 if past_deadline else 502
         raise RequestRefused(status, reason, detail, outcome=Outcome.UNKNOWN)
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/front.py
@@ -75,9 +75,7 @@
         configuration = await wait_for_fresh_tokens(router, timeout_ms)
     team = find_team(configuration, route, call)
     timeout_ms = min(timeout_ms, route.timeout_ms)
-    if router.stops_at_ms is not None and not can_finish(router, route):
-        raise temporary_refusal(Reason.DRAINING, "the router is about to stop")
-    return Job(
+    job = Job(
         call=call,
         route=route,
         service=choose_service(route.shares, random()),
@@ -87,6 +85,9 @@
         deadline_ms=arrived_ms + timeout_ms,
         version=configuration.version,
     )
+    if router.stops_at_ms is not None and not can_finish(router, job):
+        raise temporary_refusal(Reason.DRAINING, "the router is about to stop")
+    return job
 
 
 async def wait_for_configuration(router: Router, timeout_ms: int) -> Configuration:
--- a/packages/direct/src/pulley_direct/resends.py
+++ b/packages/direct/src/pulley_direct/resends.py
@@ -5,6 +5,7 @@
 
 from .budgets import spend_retry
 from .jobs import AttemptFailed, Job
+from .rotation import time_left_ms
 from .routers import Router
 
 
@@ -17,7 +18,7 @@
     """
     if job.may_have_run and not job.route.retryable:
         return failure.reason
-    if job.deadline_ms <= router.clock.now_ms():
+    if time_left_ms(router, job) <= 0:
         return Reason.DEADLINE
     if not failure.reached:
         return None
--- a/packages/direct/src/pulley_direct/resumptions.py
+++ b/packages/direct/src/pulley_direct/resumptions.py
@@ -11,6 +11,7 @@
 from .placing import Target, choose_target
 from .rejections import check_answer
 from .resends import has_attempts_left
+from .rotation import time_left_ms
 from .routers import Router
 from .takeovers import stop_other, take_other_answer
 
@@ -47,7 +48,7 @@
 
 def may_resume(router: Router, job: Job) -> bool:
     """Check whether a broken stream has time and attempts left."""
-    return job.deadline_ms > router.clock.now_ms() and has_attempts_left(job)
+    return time_left_ms(router, job) > 0 and has_attempts_left(job)
 
 
 async def start_resumed_exchange(
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/waits.py
@@ -12,6 +12,7 @@
 from .loads import is_unreachable
 from .models import Endpoint, RetryClass
 from .outcomes import record_if_late, time_to_target_ms
+from .rotation import time_left_ms
 from .routers import Router
 from .takeovers import has_ended_other, has_other_answer, settle_other, start_other
 
@@ -54,7 +55,7 @@
         if has_ended_other(job):
             settle_other(job)
             silent_ms = 0
-        left_ms = job.deadline_ms - router.clock.now_ms()
+        left_ms = time_left_ms(router, job)
         if left_ms <= 0:
             raise AnswerTimeout(
                 "the deadline has passed", step="wait", before_deadline=False
