Count routers whose entries went lately among those that share a limit

Callers saw: nothing yet. After an outage of the store in which leases ran out, each router would take a larger part of a limit or a retry budget, up to the whole one, until the others had written their entries again. Cause: a part was worked out from the entries listed at that moment. Class of fault: a missing entry taken for a missing process, where the safe reading is the other one.

--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -87,13 +87,25 @@
     elif isinstance(entry, EndpointRemoved):
         remove_endpoint(fleet_view, entry.name, entry.revision)
     elif isinstance(entry, RouterEntry):
-        fleet_view.routers[entry.name] = entry.address
+        list_router(fleet_view, entry)
     elif isinstance(entry, RouterRemoved):
-        fleet_view.routers.pop(entry.name, None)
+        remove_router(fleet_view, entry.name)
     elif isinstance(entry, CrashReports):
         apply_reports(fleet_view.crash_log, entry, fleet_view.clock.now_ms())
 
 
+def list_router(fleet_view: FleetView, entry: RouterEntry) -> None:
+    """Add or update a router's entry."""
+    fleet_view.routers[entry.name] = entry.address
+    fleet_view.former_routers.pop(entry.name, None)
+
+
+def remove_router(fleet_view: FleetView, name: str) -> None:
+    """Remove a router's entry; it counts for a while, as it may have lapsed."""
+    if fleet_view.routers.pop(name, None) is not None:
+        fleet_view.former_routers[name] = fleet_view.clock.now_ms()
+
+
 def install_configuration(fleet_view: FleetView, candidate: Configuration) -> None:
     """Put a configuration in force unless the current one is as new or newer."""
     current = fleet_view.configuration
--- a/packages/direct/src/pulley_direct/budgets.py
+++ b/packages/direct/src/pulley_direct/budgets.py
@@ -3,6 +3,7 @@
 from pulley_base import Reason
 from pulley_policy.retries import RetryBudget
 
+from .fleet_views import sharing_routers
 from .jobs import Job
 from .routers import Router
 
@@ -62,4 +63,4 @@
 
 def count_routers(router: Router) -> int:
     """Return the number of routers that share the limits of endpoints and budgets."""
-    return max(MIN_ROUTERS, len(router.fleet_view.routers))
+    return max(MIN_ROUTERS, len(sharing_routers(router.fleet_view)))
--- a/packages/direct/src/pulley_direct/fleet_views.py
+++ b/packages/direct/src/pulley_direct/fleet_views.py
@@ -9,6 +9,9 @@
 from .models import Configuration, Endpoint
 from .signals import Signal
 
+# A live router whose entry has lapsed writes it again within a renewal's interval.
+ROUTER_MEMORY_MS = 30_000
+
 
 @dataclass(frozen=True, slots=True)
 class Departure:
@@ -50,12 +53,13 @@
     """The configuration in force, the endpoints and the other routers.
 
     ``confirmed_ms`` is the latest clock reading at which the store is known to
-    have held nothing newer, None before the first answer. ``lapsed`` holds the
-    endpoints whose entries were missing after an outage of the store, with the
-    clock reading at which they count as removed. ``departed`` holds those that
-    left recently, ``leaving`` those that said that they leave, ``last_words`` what the
-    store last said of each. ``crash_log`` holds what is known of requests that crash
-    endpoints.
+    have held nothing newer, None before the first answer. ``routers`` holds the
+    addresses of the listed routers by name, ``former_routers`` when the entries of
+    others went. ``lapsed`` holds the endpoints whose entries were missing after an
+    outage of the store, with the clock reading at which they count as removed.
+    ``departed`` holds those that left recently, ``leaving`` those that said that they
+    leave, ``last_words`` what the store last said of each. ``crash_log`` holds what
+    is known of requests that crash endpoints.
     ``failing_since_ms`` is set while the store does not answer,
     ``outage_end_ms`` after its last outage. ``wall_clock`` reads the time of day
     and is used only to tell how long ago an endpoint started.
@@ -67,6 +71,7 @@
     confirmed_ms: int | None = None
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     routers: dict[str, str] = field(default_factory=dict)
+    former_routers: dict[str, int] = field(default_factory=dict)
     lapsed: dict[str, int] = field(default_factory=dict)
     departed: dict[str, Departure] = field(default_factory=dict)
     leaving: dict[str, Leaving] = field(default_factory=dict)
@@ -86,3 +91,16 @@
     if fleet_view.confirmed_ms is None:
         return None
     return fleet_view.clock.now_ms() - fleet_view.confirmed_ms
+
+
+def sharing_routers(fleet_view: FleetView) -> list[str]:
+    """Return the names of the routers that may share limits and budgets.
+
+    Those whose entries went lately are among them: a live router writes its entry
+    again after an outage of the store.
+    """
+    oldest_ms = fleet_view.clock.now_ms() - ROUTER_MEMORY_MS
+    for name, since_ms in list(fleet_view.former_routers.items()):
+        if since_ms <= oldest_ms:
+            del fleet_view.former_routers[name]
+    return [*fleet_view.routers, *fleet_view.former_routers]
--- a/packages/direct/src/pulley_direct/limits.py
+++ b/packages/direct/src/pulley_direct/limits.py
@@ -18,6 +18,7 @@
 )
 
 from .budgets import count_routers
+from .fleet_views import sharing_routers
 from .gossip import tell_limit, tell_limit_ended
 from .loads import RateLimit, get_state
 from .models import Endpoint
@@ -106,7 +107,7 @@
         limit.rate_per_s,
         endpoint.name.encode()[:MAX_KEY_BYTES],
         router.settings.instance,
-        router.fleet_view.routers.keys(),
+        sharing_routers(router.fleet_view),
         count_sharing_routers(router),
     )
     limit.allowance = update_allowance(limit.allowance, role, now_ms, random)
@@ -115,9 +116,10 @@
 
 def count_sharing_routers(router: Router) -> int:
     """Return how many routers share a limit; more than are known just after a start."""
-    if router.settings.instance in router.fleet_view.routers:
-        return len(router.fleet_view.routers)
-    return count_routers(router)
+    routers = sharing_routers(router.fleet_view)
+    return (
+        len(routers) if router.settings.instance in routers else count_routers(router)
+    )
 
 
 def log_limit(router: Router, endpoint: Endpoint, limit: RateLimit) -> None:
