Take nothing that a misdirected request's rejection says for its endpoint's word

Callers saw: nothing yet. After an endpoint's address had passed to another one, that one's load, and lately its limit and its pause, were recorded for the endpoint that was asked, and told to other routers. Cause: the head of any answer was recorded under the name that the request was sent to. Class of fault: a statement attributed to the wrong speaker. Change: the head of a 421 is not recorded.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -191,7 +191,12 @@
     status: int,
     metadata: AnswerMetadata,
 ) -> None:
-    """Record what an answer's head says of its endpoint, and tell its load."""
+    """Record what an answer's head says of its endpoint, and tell its load.
+
+    Nothing, if another endpoint rejects the request as misdirected.
+    """
+    if status == MISDIRECTED_STATUS:
+        return
     job.reported = metadata.load
     record_report(router.loads, endpoint.name, metadata.load)
     tell_load(router, job, endpoint)
--- a/tests/direct/limits.feature
+++ b/tests/direct/limits.feature
@@ -62,3 +62,9 @@
     Given 2 routers, an endpoint that names a limit of 0, and a free one
     When both know the limit and the first router hears that it has ended
     Then the second router may send one request to the endpoint
+
+  # Guards against a rejection of a misdirected request that is taken for the endpoint's
+  # own word.
+  Scenario: Another endpoint at the address names a limit
+    When a misdirected request is rejected with a limit and a load
+    Then the endpoint that was asked has no limit and no load
--- a/tests/direct/steps/limits.py
+++ b/tests/direct/steps/limits.py
@@ -7,12 +7,14 @@
 from behave import given, then, when
 from busy_endpoints import busy
 from gossip import find_free_port, start_other, wait_counted, wait_known
+from raw_endpoints import Script, add_raw_endpoints, encode_head
 from scenes import LOOKUP, ORDER, call, find_endpoints, send_call, start_fixture
 
 from pulley_base import ABSENT, UNKNOWN
 from pulley_direct.beliefs import apply_entries
 from pulley_direct.counters import RECEIVED
 from pulley_direct.limits import current_limit, hear_limit, limit_left_ms
+from pulley_direct.loads import get_state
 
 WINDOW_S = 4.0
 TOLD_S = 0.5
@@ -244,3 +246,24 @@
 def check_one_allowed(context):
     before, after = context.waits
     assert before > 0 and after == 0, context.waits
+
+
+@when("a misdirected request is rejected with a limit and a load")
+def reject_misdirected(context):
+    async def answer(request, writer):
+        lines = ("content-length: 0", "server-limit: 1", "instance-load: 40,9,8")
+        writer.write(encode_head(request, *lines, status=421))
+
+    async def run():
+        async with start_fixture(n_endpoints=0) as fixture:
+            await add_raw_endpoints(fixture, "shop", 1, Script([answer]))
+            await call(fixture, LOOKUP)
+            return get_state(fixture.router.loads, "raw-0")
+
+    context.state = asyncio.run(run())
+
+
+@then("the endpoint that was asked has no limit and no load")
+def check_nothing_learned(context):
+    assert context.state.limit is None, context.state
+    assert context.state.other_requests == 0, context.state
