Let one token bucket serve log lines, claim writes and named limits

Cause: the router's log and the agent's claims each had a token bucket of their own, and named limits brought a third. Change: pulley_policy.buckets serves all three.

--- a/packages/agent/src/pulley_agent/app.py
+++ b/packages/agent/src/pulley_agent/app.py
@@ -32,7 +32,7 @@
 from pulley_wire.messages import Hello
 
 from .admission import DEFAULT_CAPACITY_REQUESTS, Admission
-from .claims import Claims, WriteBudget
+from .claims import Claims, make_write_budget
 from .crashes import CrashWatch, describe_quarantine, follow_suspects
 from .exports import Exporter, close_exports, export_contexts
 from .fencing import Fencing
@@ -138,7 +138,7 @@
             window,
             clock,
             settings.service,
-            WriteBudget(clock, settings.claim_writes_per_s),
+            make_write_budget(clock, settings.claim_writes_per_s),
         ),
         CrashWatch(
             window.store,
@@ -164,7 +164,7 @@
         listed = members.endpoints.values()
         n_agents = sum(each.service == settings.service for each in listed)
         writes_per_s = settings.claim_writes_per_s / max(1, n_agents)
-        sessions.claims.budget.writes_per_s = writes_per_s
+        sessions.claims.budget.rate_per_s = writes_per_s
         await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
 
 
--- a/packages/agent/src/pulley_agent/claims.py
+++ b/packages/agent/src/pulley_agent/claims.py
@@ -20,6 +20,7 @@
 from pulley_fleet.claims import execute_steps
 from pulley_fleet.windows import Window, read_window
 from pulley_http import RequestRefused
+from pulley_policy.buckets import TokenBucket, reserve
 from pulley_policy.claims import (
     ClaimedAttempt,
     Ruling,
@@ -71,19 +72,6 @@
         )
 
 
-@dataclass(slots=True)
-class WriteBudget:
-    """Token bucket of claim writes.
-
-    ``writes_per_s`` is this agent's share of the service's rate.
-    """
-
-    clock: Clock
-    writes_per_s: float
-    available_writes: float = BURST_WRITES
-    refilled_ms: int = 0
-
-
 @dataclass(slots=True)
 class Claims:
     """State that all claims of an agent share."""
@@ -91,26 +79,16 @@
     window: Window
     clock: Clock
     service: str
-    budget: WriteBudget
+    budget: TokenBucket
     address: str = ""
     store_up: asyncio.Event = field(default_factory=asyncio.Event)
     probe_task: asyncio.Task | None = None
     release_tasks: set[asyncio.Task] = field(default_factory=set)
 
 
-def reserve_write(budget: WriteBudget) -> float:
-    """Take one write from the bucket; return the milliseconds to wait for it."""
-    now_ms = budget.clock.now_ms()
-    elapsed_ms = now_ms - budget.refilled_ms
-    budget.refilled_ms = now_ms
-    budget.available_writes = (
-        min(
-            BURST_WRITES,
-            budget.available_writes + elapsed_ms * budget.writes_per_s / 1_000,
-        )
-        - 1
-    )
-    return max(0.0, -budget.available_writes * 1_000 / budget.writes_per_s)
+def make_write_budget(clock: Clock, writes_per_s: float) -> TokenBucket:
+    """Return a full budget of claim writes, this agent's part of its service's rate."""
+    return TokenBucket(writes_per_s, BURST_WRITES, BURST_WRITES, clock.now_ms())
 
 
 async def wait_for_write_budget(claims: Claims, deadline_ms: int) -> None:
@@ -118,12 +96,12 @@
 
     Raises RequestRefused if that would be at or after the deadline.
     """
-    wait_ms = reserve_write(claims.budget)
+    wait_ms = reserve(claims.budget, claims.clock.now_ms())
     if wait_ms <= 0:
         return
     CLAIMS_DELAYED.labels("budget").inc()
     if claims.clock.now_ms() + wait_ms >= deadline_ms:
-        claims.budget.available_writes += 1
+        claims.budget.left += 1
         raise RequestRefused(
             503,
             Reason.CLAIM_BUDGET,
--- a/packages/direct/src/pulley_direct/logs.py
+++ b/packages/direct/src/pulley_direct/logs.py
@@ -7,38 +7,32 @@
 from dataclasses import dataclass
 
 from pulley_base import Clock, configure_logs
+from pulley_policy.buckets import TokenBucket, take
 
 # A pipe that polls as writable takes this many bytes without blocking.
 MAX_LINE_BYTES = 4_096
 LINES_PER_S = 400
 MAX_BURST_LINES = 800
-MS_PER_S = 1_000
 
 
 @dataclass(slots=True)
 class LineBudget:
     """Rate limit for log lines.
 
-    ``left`` is the number of lines that may be written now, ``n_dropped`` how
-    many were dropped since the last one written.
+    ``bucket`` holds a token for each line that may be written now, ``n_dropped`` is
+    how many were dropped since the last one written.
     """
 
     clock: Clock
-    left: float = MAX_BURST_LINES
-    refilled_ms: int = 0
+    bucket: TokenBucket
     n_dropped: int = 0
 
 
-def take_line(budget: LineBudget) -> bool:
-    """Take one line from the budget; return False if none is left."""
-    now_ms = budget.clock.now_ms()
-    n_earned = (now_ms - budget.refilled_ms) * LINES_PER_S / MS_PER_S
-    budget.left = min(MAX_BURST_LINES, budget.left + n_earned)
-    budget.refilled_ms = now_ms
-    if budget.left < 1.0:
-        return False
-    budget.left -= 1.0
-    return True
+def make_line_budget(clock: Clock) -> LineBudget:
+    """Return a budget that allows a full burst."""
+    now_ms = clock.now_ms()
+    bucket = TokenBucket(LINES_PER_S, MAX_BURST_LINES, MAX_BURST_LINES, now_ms)
+    return LineBudget(clock, bucket)
 
 
 class BoundedStream:
@@ -52,7 +46,8 @@
 
     def write(self, text: str) -> int:
         """Write one line, or count it as dropped."""
-        if not take_line(self.budget) or not self.is_writable():
+        now_ms = self.budget.clock.now_ms()
+        if not take(self.budget.bucket, now_ms) or not self.is_writable():
             self.budget.n_dropped += 1
             return len(text)
         if self.budget.n_dropped:
@@ -71,7 +66,6 @@
 
 def log_to_stdout(clock: Clock | None = None) -> None:
     """Send the process's log lines to standard output, rate limited."""
-    budget = LineBudget(clock or Clock())
-    budget.refilled_ms = budget.clock.now_ms()
+    budget = make_line_budget(clock or Clock())
     configure_logs(stream=BoundedStream(sys.stdout.fileno(), budget))
     logging.getLogger("asyncio").setLevel(logging.ERROR)
--- a/packages/policy/src/pulley_policy/buckets.py
+++ b/packages/policy/src/pulley_policy/buckets.py
@@ -38,6 +38,13 @@
     return True
 
 
+def reserve(bucket: TokenBucket, now_ms: int) -> float:
+    """Take one token, also one that is still to come; return the time to it in ms."""
+    left = fill(bucket, now_ms)
+    bucket.left = left - 1.0
+    return max(0.0, -bucket.left * MS_PER_S / bucket.rate_per_s)
+
+
 def wait_ms(bucket: TokenBucket, now_ms: int) -> float:
     """Return the time until there is a whole token, in ms; infinite at a rate of 0."""
     n_missing = 1.0 - fill(bucket, now_ms)
--- a/tests/logs/steps/logs.py
+++ b/tests/logs/steps/logs.py
@@ -20,7 +20,7 @@
 from pulley_direct.counters import observe_ms
 from pulley_direct.fleet_views import FleetView
 from pulley_direct.loads import LoadTable, get_state
-from pulley_direct.logs import MAX_BURST_LINES, BoundedStream, LineBudget
+from pulley_direct.logs import MAX_BURST_LINES, BoundedStream, make_line_budget
 from pulley_direct.models import Configuration, Endpoint, RouterSettings
 from pulley_direct.routers import Router
 from pulley_http import Limits, Request
@@ -39,7 +39,8 @@
 def log_without_reader(context, n_lines):
     reader, writer = os.pipe()
     now_ms = [0]
-    budget = LineBudget(Clock(lambda: now_ms[0]), left=float(n_lines))
+    budget = make_line_budget(Clock(lambda: now_ms[0]))
+    budget.bucket.left = float(n_lines)
     stream = BoundedStream(writer, budget)
     started = time.monotonic()
     for number in range(n_lines):
@@ -69,7 +70,7 @@
 @when("a process logs {n_lines:d} lines at once")
 def log_burst(context, n_lines):
     reader, writer = os.pipe()
-    stream = BoundedStream(writer, LineBudget(Clock(lambda: 0)))
+    stream = BoundedStream(writer, make_line_budget(Clock(lambda: 0)))
     for _ in range(n_lines):
         stream.write("x\n")
     context.n_written = os.read(reader, 1 << 20).count(b"\n")
