Write log lines whose text can't be encoded with an escape

Callers saw: nothing. An odd entry can hold text that UTF-8 does not encode, and the line that tells of it was lost with an error. Evidence: the new scenario of tests/logs failed before. Change: such characters are written as escapes.

--- a/packages/direct/src/pulley_direct/logs.py
+++ b/packages/direct/src/pulley_direct/logs.py
@@ -53,7 +53,8 @@
         if self.budget.n_dropped:
             text = f"event=lines_dropped count={self.budget.n_dropped}\n{text}"
             self.budget.n_dropped = 0
-        os.write(self.descriptor, text.encode()[:MAX_LINE_BYTES])
+        data = text.encode(errors="backslashreplace")
+        os.write(self.descriptor, data[:MAX_LINE_BYTES])
         return len(text)
 
     def is_writable(self) -> bool:
--- a/tests/logs/logs.feature
+++ b/tests/logs/logs.feature
@@ -9,6 +9,11 @@
     When a process logs 5000 lines at once
     Then at most 800 of them are written
 
+  # Guards against a line that is lost because an odd entry's text can't be encoded.
+  Scenario: A line with text that has no encoding is written
+    When a process logs a lone surrogate
+    Then the line is written with an escape for it
+
   Scenario: A request is traced through the logs of several processes
     Given logs of two routers, one of which lost the store
     When the lines about a refused request are selected
--- a/tests/logs/steps/logs.py
+++ b/tests/logs/steps/logs.py
@@ -78,6 +78,21 @@
     os.close(writer)
 
 
+@when("a process logs a lone surrogate")
+def log_surrogate(context):
+    reader, writer = os.pipe()
+    stream = BoundedStream(writer, make_line_budget(Clock(lambda: 0)))
+    stream.write("event=test key=\ud800\n")
+    context.output = os.read(reader, 1 << 20)
+    os.close(reader)
+    os.close(writer)
+
+
+@then("the line is written with an escape for it")
+def check_escape(context):
+    assert context.output == b"event=test key=\\ud800\n", context.output
+
+
 @then("at most {most:d} of them are written")
 def check_written(context, most):
     assert MAX_BURST_LINES == most
