Show in metrics and status which endpoints leave, are closed or have a limit

Cause: an operator who asks why an endpoint gets less had only log lines. Change: three gauges, and two fields of each endpoint's row on the status page. The fixture of the page's test had an endpoint whose fields stood in the wrong order, so that it counted as draining.

--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -11,7 +11,8 @@
 from .counters import render_metrics
 from .departures import is_leaving
 from .fleet_views import configuration_age_ms
-from .loads import estimate_load, is_backing_off
+from .limits import current_limit
+from .loads import closed_left_ms, estimate_load, is_backing_off, is_closed
 from .routers import Router
 from .trust import has_fresh_tokens, is_ready
 
@@ -45,6 +46,7 @@
         "plantainpulley_direct_ready": int(is_ready(router)),
         "plantainpulley_direct_endpoints": len(fleet_view.endpoints),
         "plantainpulley_direct_routers": len(fleet_view.routers),
+        **count_withheld(router),
         "plantainpulley_direct_configuration_version": version,
         # An age of None, before the first answer of the store, is reported as 0.
         "plantainpulley_direct_configuration_age_ms": configuration_age_ms(fleet_view)
@@ -58,6 +60,22 @@
     }
 
 
+def count_withheld(router: Router) -> dict[str, int]:
+    """Return how many listed endpoints get no work or less, by metric name."""
+    endpoints = router.fleet_view.endpoints
+    return {
+        "plantainpulley_direct_leaving_endpoints": sum(
+            is_leaving(router.fleet_view, one) for one in endpoints.values()
+        ),
+        "plantainpulley_direct_closed_endpoints": sum(
+            is_closed(router.loads, name) for name in endpoints
+        ),
+        "plantainpulley_direct_limited_endpoints": sum(
+            current_limit(router, one) is not None for one in endpoints.values()
+        ),
+    }
+
+
 def quarantined_keys(router: Router) -> list[str]:
     """Return the keys whose requests are refused because they crash endpoints."""
     evidence = router.fleet_view.crash_log.evidence
@@ -93,6 +111,7 @@
     """Return the status page's row for one endpoint."""
     endpoint = router.fleet_view.endpoints[name]
     state = router.loads.states.get(name)
+    limit = current_limit(router, endpoint)
     return {
         "name": name,
         "service": endpoint.service,
@@ -100,6 +119,8 @@
         "leaving": is_leaving(router.fleet_view, endpoint),
         "lapsed": name in router.fleet_view.lapsed,
         "held_off": is_backing_off(router.loads, name),
+        "closed_ms": closed_left_ms(router.loads, name),
+        "limit_per_s": None if limit is None else limit.rate_per_s,
         "load": round(estimate_load(router.loads, name), 1),
         "in_flight": 0 if state is None else state.in_flight,
         "reported_ms_ago": None if state is None else now_ms - state.reported_ms,
--- a/tests/logs/logs.feature
+++ b/tests/logs/logs.feature
@@ -33,3 +33,4 @@
     When metrics and status are requested from a router that answered and refused requests
     Then its metrics count both and contain the time of the answer
     And its status contains the version in force, its age and each endpoint's load
+    And both tell which endpoints leave, are closed or have a limit
--- a/tests/logs/steps/logs.py
+++ b/tests/logs/steps/logs.py
@@ -19,7 +19,8 @@
 from pulley_direct.channels import ChannelPool
 from pulley_direct.counters import observe_ms
 from pulley_direct.fleet_views import FleetView
-from pulley_direct.loads import LoadTable, get_state
+from pulley_direct.limits import record_limit
+from pulley_direct.loads import LoadTable, close_endpoint, get_state
 from pulley_direct.logs import MAX_BURST_LINES, BoundedStream, make_line_budget
 from pulley_direct.models import Configuration, Endpoint, RouterSettings
 from pulley_direct.routers import Router
@@ -151,11 +152,12 @@
         settings, HEADER_CODEC, clock, fleet_view, ChannelPool(clock), LoadTable(clock)
     )
     found = Configuration(7, (), {}, Limits(), {}, True)
-    apply_entries(
-        fleet_view, [found, Endpoint("e-1", "shop", "10.0.0.1:80", "here", 4)]
-    )
+    endpoint = Endpoint("e-1", "shop", "10.0.0.1:80", slots=4)
+    apply_entries(fleet_view, [found, endpoint])
     record_store_success(fleet_view, 4_200)
     get_state(router.loads, "e-1").in_flight = 3
+    close_endpoint(router.loads, "e-1", 500)
+    record_limit(router, endpoint, 4.9)
     return router
 
 
@@ -193,3 +195,16 @@
     assert status["configuration"]["age_ms"] == 800, status
     (endpoint,) = status["endpoints"]
     assert (endpoint["name"], endpoint["load"]) == ("e-1", 3), status
+
+
+@then("both tell which endpoints leave, are closed or have a limit")
+def check_withheld(context):
+    (endpoint,) = json.loads(context.texts["/status"])["endpoints"]
+    found = endpoint["leaving"], endpoint["closed_ms"], endpoint["limit_per_s"]
+    assert found == (False, 500, 4.9), endpoint
+    for line in (
+        "plantainpulley_direct_leaving_endpoints 0.0",
+        "plantainpulley_direct_closed_endpoints 1.0",
+        "plantainpulley_direct_limited_endpoints 1.0",
+    ):
+        assert line in context.texts["/metrics"], line
