Let the soak's endpoints say that they leave, and check that routers heed it

Cause: the soak's drained endpoints came back under their name and start, which the platform's never do, and nothing checked who gets work after leaving. Change: a drained endpoint comes back with a later start. A new fault lets an endpoint say in its answers alone that it leaves; a request that was sent to a router after that router had passed on such an answer must not reach it.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 from pulley_platform_standins.endpoints import Behavior, list_endpoint, unlist_endpoint
 from pulley_platform_standins.stores import StoreFault, compact_history
 
+from pulley_base import wall_time_ms
 from pulley_standins.relays import (
     block_answers,
     reset_connections,
@@ -18,6 +19,8 @@
     silence_connections,
 )
 
+LEAVING_NOTICE = (b"server-leaving", b"1")
+
 Fault = Callable[["object", Random], Awaitable[None]]
 
 
@@ -114,15 +117,37 @@
 
 
 async def drain_endpoint(fleet, random: Random) -> None:
-    """Drain one endpoint, remove it from the instance list and list it again."""
+    """Drain one endpoint, remove it from the instance list and start it again."""
     endpoint = random.choice(fleet.endpoints)
     list_endpoint(fleet.store, endpoint, "draining", fleet.address_of(endpoint))
     await asyncio.sleep(random.uniform(0.2, 1.0))
     unlist_endpoint(fleet.store, endpoint)
     await asyncio.sleep(random.uniform(0.2, 1.0))
+    start_again(fleet, endpoint)
+
+
+def start_again(fleet, endpoint) -> None:
+    """List an endpoint with a later start, as a drained one comes back."""
+    endpoint.started_ms = max(endpoint.started_ms + 1, wall_time_ms())
     list_endpoint(fleet.store, endpoint, "ready", fleet.address_of(endpoint))
 
 
+async def leave_unlisted(fleet, random: Random) -> None:
+    """Let one endpoint say in its answers alone that it leaves, for 0.5 to 2 s.
+
+    Then it starts again.
+    """
+    endpoint = random.choice(fleet.endpoints)
+    if endpoint.notices:
+        return
+    n_before = len(endpoint.requests)
+    endpoint.notices = [LEAVING_NOTICE]
+    await asyncio.sleep(random.uniform(0.5, 2.0))
+    fleet.leavings.append((endpoint.name, endpoint.requests[n_before:]))
+    endpoint.notices = []
+    start_again(fleet, endpoint)
+
+
 async def revoke_token(fleet, random: Random) -> None:
     """Revoke one token and issue a new one."""
     fleet.revoke(random.choice(fleet.tokens))
@@ -140,5 +165,6 @@
     drop_history,
     disturb_endpoint,
     drain_endpoint,
+    leave_unlisted,
     revoke_token,
 )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
 import tempfile
 from asyncio.subprocess import Process
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from random import Random
@@ -24,6 +25,7 @@
 from faults import FAULTS  # noqa: E402
 from pulley_platform_standins.endpoints import (  # noqa: E402
     StandInEndpoint,
+    header_text,
     list_endpoint,
     start_endpoint,
 )
@@ -42,7 +44,7 @@
 from scenes import CHAT, LOOKUP, ONCE, ORDER, configuration, send_call  # noqa: E402
 
 from pulley_base import Clock  # noqa: E402
-from pulley_http import Client, close_client  # noqa: E402
+from pulley_http import Client, Request, close_client  # noqa: E402
 from pulley_standins.relays import Relay, open_relay, relay_address, reset_connections  # noqa: E402
 
 N_EVENTS = 6
@@ -91,20 +93,27 @@
 class SentRequest:
     """One request, when it was sent, and the answer that its caller got.
 
-    ``after_faults`` is True if it was sent after the faults had ended.
+    ``process_id`` is that of the router. ``after_faults`` is True if it was sent after
+    the faults had ended.
     """
 
     request_id: str
+    process_id: int
     path: str
     token: str
     sent_ms: int
+    answered_ms: int
     after_faults: bool
     answer: object
 
 
 @dataclass(slots=True)
 class Fleet:
-    """The processes, settings and relays of one seed, and what its callers saw."""
+    """The processes, settings and relays of one seed, and what its callers saw.
+
+    ``leavings`` has, for each endpoint that said in its answers that it leaves, its
+    name and the requests that it got from then on.
+    """
 
     store: StandInStore
     folder: Path
@@ -118,6 +127,7 @@
     version: int = 1
     after_faults: bool = False
     sent: list[SentRequest] = field(default_factory=list)
+    leavings: list[tuple[str, list[Request]]] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
 
     def address_of(self, endpoint: StandInEndpoint) -> str:
@@ -275,6 +285,7 @@
         path = random.choice([LOOKUP, ORDER, ORDER, CHAT, ONCE])
         request_id = f"c{number}-{count}"
         sent_ms, after_faults = fleet.clock.now_ms(), fleet.after_faults
+        process_id = slot.process.pid
         answer = await send_call(
             client,
             slot.front_address,
@@ -285,7 +296,16 @@
             parts=f"aa:100,b{random.randint(0, 5)}:50",
         )
         fleet.sent.append(
-            SentRequest(request_id, path, token, sent_ms, after_faults, answer)
+            SentRequest(
+                request_id,
+                process_id,
+                path,
+                token,
+                sent_ms,
+                fleet.clock.now_ms(),
+                after_faults,
+                answer,
+            )
         )
         await asyncio.sleep(random.uniform(0.0, 0.05))
 
@@ -349,6 +369,7 @@
     runs = Counter()
     for endpoint in fleet.endpoints:
         runs.update(endpoint.runs)
+    fleet.violations.extend(find_late_requests(fleet))
     for sent in fleet.sent:
         for violation in find_violations(fleet, sent, runs[sent.request_id]):
             fleet.violations.append(
@@ -356,6 +377,24 @@
             )
 
 
+def find_late_requests(fleet: Fleet) -> Iterator[str]:
+    """Yield a text for each request to an endpoint of whose leaving its router knew.
+
+    A router knows it from the first answer with the notice that a caller got from it.
+    """
+    sent_by_id = {sent.request_id: sent for sent in fleet.sent}
+    for name, requests in fleet.leavings:
+        ids = [header_text(request, b"attempt-id") for request in requests]
+        sent_there = [sent_by_id[one] for one in ids if one in sent_by_id]
+        told_ms: dict[int, int] = {}
+        for sent in sorted(sent_there, key=lambda one: one.answered_ms):
+            if sent.answer.header("server-leaving"):
+                told_ms.setdefault(sent.process_id, sent.answered_ms)
+        for sent in sent_there:
+            if sent.sent_ms > told_ms.get(sent.process_id, sent.sent_ms):
+                yield f"{sent.request_id} reached {name} after its router knew it left"
+
+
 def find_violations(fleet: Fleet, sent: SentRequest, n_runs: int):
     """Yield a text for each guarantee that was violated for one request."""
     answer = sent.answer
