Split an attempt from the heads that it writes and reads, and join test steps

Cause: attempts.py had grown to 361 lines with four jobs, and the new features repeated each other's steps. Functions are moved as they were. One step checks refusals at once, one runs two routers that hear of a home's change.

--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -1,19 +1,10 @@
 """One attempt: send a request to one endpoint and read the head of its answer."""
 
-import asyncio
-import logging
-
 import h11
 
-from pulley_base import (
-    ConnectionLost,
-    PulleyError,
-    Reason,
-    log_event,
-)
-from pulley_http import Headers
-from pulley_http.connections import parse_event
+from pulley_base import PulleyError, Reason
 
+from .answer_heads import read_matching_head
 from .budgets import count_routers
 from .channels import (
     Channel,
@@ -22,31 +13,16 @@
     connect_channel,
     take_idle,
 )
-from .departures import record_leaving, takes_work
-from .exchanges import (
-    MAX_BODY_BYTES,
-    MAX_PIECES_PER_TURN,
-    Exchange,
-    failure_reason,
-)
-from .fleet_views import LeavingSource
-from .gossip import tell_leaving, tell_load
+from .departures import takes_work
+from .exchanges import Exchange, failure_reason
+from .head_reports import record_head
 from .jobs import AttemptFailed, Job
-from .limits import hear_limit
-from .loads import close_endpoint, get_state, is_closed, record_report
-from .models import AnswerMetadata, AttemptParameters, Endpoint
+from .loads import get_state, is_closed
+from .models import Endpoint
 from .placing import Target
-from .rejections import MISDIRECTED_STATUS
+from .request_heads import build_request_headers, encode_request
 from .routers import Router
-from .waits import wait_for_bytes
-
-logger = logging.getLogger(__name__)
 
-# Informational answers, and those to earlier requests, that may come before the
-# expected one: far more than a sound endpoint sends.
-MAX_SKIPPED_ANSWERS = 16
-FIRST_ERROR_STATUS = 400
-UNAVAILABLE_STATUS = 503
 # Endpoints reset connections over their limit; the rest is for routers that are just
 # starting or stopping, which also hold connections.
 CHANNEL_LIMIT_SHARE = 0.9
@@ -182,180 +158,3 @@
     else:
         return
     raise AttemptFailed(reason, detail, endpoint, reached=False, may_have_run=False)
-
-
-def record_head(
-    router: Router,
-    job: Job,
-    endpoint: Endpoint,
-    status: int,
-    metadata: AnswerMetadata,
-) -> None:
-    """Record what an answer's head says of its endpoint, and tell its load.
-
-    Nothing, if another endpoint rejects the request as misdirected.
-    """
-    if status == MISDIRECTED_STATUS:
-        return
-    job.reported = metadata.load
-    record_report(router.loads, endpoint.name, metadata.load)
-    tell_load(router, job, endpoint)
-    hear_limit(router, endpoint, status, metadata.rate_limit)
-    if status == UNAVAILABLE_STATUS and metadata.retry_after_ms:
-        record_pause(router, job, endpoint, metadata.retry_after_ms)
-
-
-def record_pause(router: Router, job: Job, endpoint: Endpoint, asked_ms: int) -> None:
-    """Record and log that an endpoint asked for no requests for a time in ms."""
-    log_event(
-        logger,
-        "endpoint_closed",
-        request=job.call.request_id,
-        endpoint=endpoint.name,
-        asked_ms=asked_ms,
-        closed_ms=close_endpoint(router.loads, endpoint.name, asked_ms),
-    )
-
-
-def hear_leaving(
-    router: Router, endpoint: Endpoint, status: int, metadata: AnswerMetadata
-) -> None:
-    """Record and tell that an endpoint said in an answer that it leaves.
-
-    The one that rejects a request as misdirected is another one than was asked.
-    """
-    if not metadata.leaving or status == MISDIRECTED_STATUS:
-        return
-    if record_leaving(router.fleet_view, endpoint, LeavingSource.ANSWER):
-        tell_leaving(router, endpoint)
-
-
-def build_request_headers(
-    router: Router,
-    job: Job,
-    target: Target,
-    left_ms: int,
-    last_event_id: int | None,
-) -> Headers:
-    """Build the headers of one attempt, with the content length of its body."""
-    parameters = AttemptParameters(
-        endpoint=target.endpoint.name,
-        left_ms=left_ms,
-        team=None if job.team is None else job.team.name,
-        last_event_id=last_event_id,
-        context_source=target.context_source,
-    )
-    headers = router.header_codec.attempt_headers(job.call, parameters)
-    headers = [pair for pair in headers if pair[0] != b"content-length"]
-    if job.body or job.call.method in ("POST", "PUT", "PATCH"):
-        headers.append((b"content-length", b"%d" % len(job.body)))
-    return headers
-
-
-def encode_request(parser: h11.Connection, request: h11.Request, body: bytes) -> bytes:
-    """Return a whole request as bytes."""
-    data = [parser.send(request)]
-    if body:
-        data.append(parser.send(h11.Data(data=body)))
-    data.append(parser.send(h11.EndOfMessage()))
-    return b"".join(data)
-
-
-async def read_matching_head(
-    router: Router,
-    job: Job,
-    channel: Channel,
-    request: h11.Request,
-    endpoint: Endpoint,
-) -> tuple[h11.Response, AnswerMetadata]:
-    """Read answers until one belongs to this request.
-
-    An endpoint may repeat its answer to an earlier request before it sends the
-    expected one. Raises ConnectionLost after ``MAX_SKIPPED_ANSWERS`` others.
-    """
-    for _ in range(MAX_SKIPPED_ANSWERS + 1):
-        head = await read_head(router, job, channel, endpoint)
-        metadata = router.header_codec.read_answer(head.headers)
-        hear_leaving(router, endpoint, head.status_code, metadata)
-        if isinstance(head, h11.InformationalResponse):
-            continue
-        if is_answer_to_job(job, channel, head.status_code, metadata):
-            return head, metadata
-        log_event(
-            logger,
-            "foreign_answer_skipped",
-            request=job.call.request_id,
-            peer=channel.address,
-            answer_to=metadata.request_id,
-        )
-        router.counters.failures[Reason.FOREIGN_ANSWER] += 1
-        await discard_answer(router, job, channel, endpoint)
-        restart_parser(channel, request, job.body)
-    raise ConnectionLost("too many other answers", step="head", peer=channel.address)
-
-
-async def read_head(
-    router: Router, job: Job, channel: Channel, endpoint: Endpoint
-) -> h11.Response | h11.InformationalResponse:
-    """Read the next head on a channel, also that of an informational answer."""
-    connection = channel.connection
-    head = parse_event(connection, "head")
-    while head is h11.NEED_DATA:
-        await wait_for_bytes(router, job, endpoint, connection)
-        head = parse_event(connection, "head")
-    if not isinstance(head, h11.Response | h11.InformationalResponse):
-        raise ConnectionLost("closed early", step="head", peer=channel.address)
-    return head
-
-
-def is_answer_to_job(
-    job: Job, channel: Channel, status: int, metadata: AnswerMetadata
-) -> bool:
-    """Check whether an answer belongs to this request.
-
-    An error answer without a request id does if none can be left of earlier requests,
-    or if the request has no id itself.
-    """
-    if metadata.request_id is not None:
-        return metadata.request_id == job.call.request_id
-    is_clear = channel.n_requests == 1 or not job.call.request_id
-    return status >= FIRST_ERROR_STATUS and is_clear
-
-
-async def discard_answer(
-    router: Router, job: Job, channel: Channel, endpoint: Endpoint
-) -> None:
-    """Read an answer to its end and discard it.
-
-    Raises ConnectionLost if it is cut or larger than ``MAX_BODY_BYTES``, and
-    AnswerTimeout if it has no end in time.
-    """
-    connection = channel.connection
-    peer = channel.address
-    n_bytes = n_pieces = 0
-    while n_bytes <= MAX_BODY_BYTES:
-        event = parse_event(connection, "body")
-        if event is h11.NEED_DATA:
-            await wait_for_bytes(router, job, endpoint, connection)
-        elif isinstance(event, h11.Data):
-            n_bytes += len(event.data)
-            n_pieces += 1
-            if n_pieces % MAX_PIECES_PER_TURN == 0:
-                await asyncio.sleep(0)
-        elif isinstance(event, h11.EndOfMessage):
-            return
-        else:
-            raise ConnectionLost("closed in mid-answer", step="body", peer=peer)
-    raise ConnectionLost("a foreign answer is too large", step="body", peer=peer)
-
-
-def restart_parser(channel: Channel, request: h11.Request, body: bytes) -> None:
-    """Parse the next bytes on a channel as another answer to the same request."""
-    connection = channel.connection
-    trailing, _closed = connection.h11.trailing_data
-    connection.h11 = h11.Connection(h11.CLIENT)
-    encode_request(connection.h11, request, body)
-    if trailing:
-        connection.h11.receive_data(trailing)
-    if connection.ended and not connection.broken:
-        connection.h11.receive_data(b"")
--- a/tests/direct/steps/closed_endpoints.py
+++ b/tests/direct/steps/closed_endpoints.py
@@ -11,6 +11,7 @@
     ORDER,
     add_endpoint,
     call,
+    check_refused_at_once,
     find_endpoints,
     start_fixture,
     wait_until_synced,
@@ -114,11 +115,10 @@
 
 
 @then("it is refused at once with a Retry-After between 2 and 3 s")
-def check_refused_at_once(context):
+def check_all_refused(context):
     answer, before, after = context.result
     assert before == after == [1, 1], (before, after)
-    found = answer.status, answer.header("pulley-outcome"), answer.took_ms < 200
-    assert found == (503, "not-run", True), answer
+    check_refused_at_once(answer)
     assert 2 < float(answer.header("retry-after")) <= 3, answer
 
 
--- a/tests/direct/steps/gossip.py
+++ b/tests/direct/steps/gossip.py
@@ -119,38 +119,39 @@
     context.n_endpoints = n
 
 
+async def change_home(n_endpoints, change):
+    """Let the first router hear how a prompt's home has changed.
+
+    Return the names of the home and of the endpoint that the second one then chooses.
+    """
+    async with start_two(n_endpoints) as (fixture, first, second):
+        endpoints = find_endpoints(fixture, "model")
+        await send_prompt(fixture, first, "request-1")
+        (home,) = [one for one in endpoints if one.runs["request-1"]]
+        change(home)
+        await send_prompt(fixture, first, "request-2")
+        await wait_counted(second, RECEIVED)
+        await send_prompt(fixture, second, "request-3")
+        (chosen,) = [one for one in endpoints if one.runs["request-3"]]
+        return home.name, chosen.name
+
+
 @when("the home of a prompt reports {n:d} requests to the first router")
 def report_load(context, n):
-    async def run():
-        async with start_two(context.n_endpoints) as (fixture, first, second):
-            endpoints = find_endpoints(fixture, "model")
-            await send_prompt(fixture, first, "request-1")
-            (home,) = [one for one in endpoints if one.runs["request-1"]]
-            home.n_running += n
-            await send_prompt(fixture, first, "request-2")
-            await wait_counted(second, RECEIVED)
-            await send_prompt(fixture, second, "request-3")
-            (chosen,) = [one for one in endpoints if one.runs["request-3"]]
-            return home.name, chosen.name
+    def be_busy(home):
+        home.n_running += n
 
-    context.home, context.chosen = asyncio.run(run())
+    context.home, context.chosen = asyncio.run(
+        change_home(context.n_endpoints, be_busy)
+    )
 
 
 @when("the home of a prompt says to the first router that it leaves")
 def say_leaving(context):
-    async def run():
-        async with start_two(context.n_endpoints) as (fixture, first, second):
-            endpoints = find_endpoints(fixture, "model")
-            await send_prompt(fixture, first, "request-1")
-            (home,) = [one for one in endpoints if one.runs["request-1"]]
-            home.notices = [(b"server-leaving", b"1")]
-            await send_prompt(fixture, first, "request-2")
-            await wait_counted(second, RECEIVED)
-            await send_prompt(fixture, second, "request-3")
-            (chosen,) = [one for one in endpoints if one.runs["request-3"]]
-            return home.name, chosen.name
+    def leave(home):
+        home.notices = [(b"server-leaving", b"1")]
 
-    context.home, context.chosen = asyncio.run(run())
+    context.home, context.chosen = asyncio.run(change_home(context.n_endpoints, leave))
 
 
 @when("the second router is told that an earlier start of an endpoint leaves")
--- a/tests/direct/steps/leaving_endpoints.py
+++ b/tests/direct/steps/leaving_endpoints.py
@@ -19,6 +19,7 @@
     ORDER,
     add_endpoint,
     call,
+    check_refused_at_once,
     find_endpoints,
     start_fixture,
     wait_until_synced,
@@ -227,8 +228,7 @@
 def check_refused(context):
     answer, before, after = context.result
     assert before == after == [1, 1], (before, after)
-    found = answer.status, answer.header("pulley-outcome"), answer.took_ms < 200
-    assert found == (503, "not-run", True), answer
+    check_refused_at_once(answer)
     assert float(answer.header("retry-after")) > 0, answer
 
 
--- a/tests/direct/steps/limits.py
+++ b/tests/direct/steps/limits.py
@@ -8,7 +8,15 @@
 from busy_endpoints import busy
 from gossip import find_free_port, start_other, wait_counted, wait_known
 from raw_endpoints import Script, add_raw_endpoints, encode_head
-from scenes import LOOKUP, ORDER, call, find_endpoints, send_call, start_fixture
+from scenes import (
+    LOOKUP,
+    ORDER,
+    call,
+    check_refused_at_once,
+    find_endpoints,
+    send_call,
+    start_fixture,
+)
 
 from pulley_base import ABSENT, UNKNOWN
 from pulley_direct.beliefs import apply_entries
@@ -126,8 +134,7 @@
 @then("the last is refused at once as not run, to come back within two seconds")
 def check_refused(context):
     answer = context.answer
-    found = answer.status, answer.header("pulley-outcome"), answer.took_ms < 200
-    assert found == (503, "not-run", True), answer
+    check_refused_at_once(answer)
     assert answer.header("pulley-reason") == "endpoint-closed", answer
     assert 0.2 < float(answer.header("retry-after")) <= 2, answer
 
--- a/tests/direct/steps/once.py
+++ b/tests/direct/steps/once.py
@@ -134,7 +134,7 @@
 FAULTS = {
     "orders are retried": [("dispatch.retry_denial_reason", retry_always)],
     "every refusal says 503": [("dispatch.fall_back_or_refuse", refuse_as_not_run)],
-    "wrong answers passed": [("attempts.is_answer_to_job", lambda *others: True)],
+    "wrong answers passed": [("answer_heads.is_answer_to_job", lambda *others: True)],
     "truncated answers passed": [("dispatch.read_whole_body", read_truncated_body)],
     "unlimited attempts": [("resends.has_attempts_left", lambda job: True)],
 }
--- a/tests/direct/steps/scenes.py
+++ b/tests/direct/steps/scenes.py
@@ -232,6 +232,12 @@
     return int(SCHEDULER_STATISTICS.read_text().split()[1]) / NS_PER_MS
 
 
+def check_refused_at_once(answer: Answer) -> None:
+    """Check that a caller was told at once that its request has not run."""
+    found = answer.status, answer.header("pulley-outcome"), answer.took_ms < 200
+    assert found == (503, "not-run", True), answer
+
+
 def find_endpoints(fixture: RouterFixture, service: str) -> list[StandInEndpoint]:
     """Return the fixture's endpoints of a service."""
     return [one for one in fixture.endpoints if one.service == service]
--- a/tests/direct/steps/stops.py
+++ b/tests/direct/steps/stops.py
@@ -4,7 +4,15 @@
 
 from behave import then, when
 from pulley_platform_standins.endpoints import Behavior
-from scenes import CHAT, LOOKUP, ORDER, call, find_endpoints, start_fixture
+from scenes import (
+    CHAT,
+    LOOKUP,
+    ORDER,
+    call,
+    check_refused_at_once,
+    find_endpoints,
+    start_fixture,
+)
 
 from pulley_base import to_seconds
 from pulley_direct.app import drain
@@ -34,10 +42,7 @@
 
 @then("it is refused as not run")
 def check_refused(context):
-    answer = context.answer
-    found = answer.status, answer.header("pulley-outcome")
-    assert found == (503, "not-run"), answer
-    assert answer.took_ms < 200, answer
+    check_refused_at_once(context.answer)
 
 
 @when("a lookup waits for its answer as the grace period ends")
