End a drain in time whose grace period is shorter than the balancer's last connections

Cause: that wait did not look at the end of the stop. Evidence: the new scenario of tests/direct/stops.feature failed before. Change: the wait ends with the drain at the latest.

--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -177,7 +177,7 @@
     end_ms = router.stops_at_ms - SHUTDOWN_MARGIN_MS
     caller_server.draining = True
     log_event(logger, "draining", n_in_flight=router.n_in_flight)
-    await asyncio.sleep(to_seconds(LAST_CONNECTIONS_MS))
+    await asyncio.sleep(to_seconds(min(LAST_CONNECTIONS_MS, end_ms - clock.now_ms())))
     ends = False
     while caller_server.connections and not ends:
         # The router may have been busy until the end: answers may be there, unread.
--- a/tests/direct/steps/stops.py
+++ b/tests/direct/steps/stops.py
@@ -65,3 +65,18 @@
     found = context.answer.status, context.answer.header("pulley-outcome")
     assert found == (504, "unknown"), context.answer
     assert to_seconds(context.left_ms) > 0, context.left_ms
+
+
+@when("a router stops with a grace period of {grace:d} s")
+def stop_briefly(context, grace):
+    async def run():
+        async with start_fixture(grace_ms=grace * 1_000) as fixture:
+            await drain(fixture.running)
+            return fixture.router.stops_at_ms - fixture.router.clock.now_ms()
+
+    context.left_ms = asyncio.run(run())
+
+
+@then("its drain ends before the process would be killed")
+def check_drain_end(context):
+    assert context.left_ms > 0, context.left_ms
--- a/tests/direct/stops.feature
+++ b/tests/direct/stops.feature
@@ -34,3 +34,8 @@
   Scenario: An endpoint does not answer until the grace period ends
     When a lookup waits for its answer as the grace period ends
     Then its caller gets 504 and the outcome "unknown"
+
+  # Guards against a router that is killed while it still waits for the balancer.
+  Scenario: The grace period is shorter than the wait for the last connections
+    When a router stops with a grace period of 2 s
+    Then its drain ends before the process would be killed
