Go by an endpoint's present start when limited endpoints come first

Cause: the order of endpoints asked whether a limit was ever recorded under the name, also one of an earlier start; everything else asks for the present one. Change: one function tells whether an endpoint has a limit.

--- a/packages/direct/src/pulley_direct/loads.py
+++ b/packages/direct/src/pulley_direct/loads.py
@@ -195,12 +195,6 @@
     return closed_left_ms(table, name) > 0
 
 
-def has_limit(table: LoadTable, name: str) -> bool:
-    """Check whether an endpoint has named the rate that it takes."""
-    state = table.states.get(name)
-    return state is not None and state.limit is not None
-
-
 def is_backing_off(table: LoadTable, name: str) -> bool:
     """Check whether an endpoint is in backoff after a failure."""
     state = table.states.get(name)
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/placing.py
@@ -16,10 +16,9 @@
 from .availability import is_open
 from .departures import service_places, usable_endpoints
 from .jobs import Job, Placement
-from .limits import count_request
+from .limits import count_request, current_limit
 from .loads import (
     estimate_load,
-    has_limit,
     is_backing_off,
     is_closed,
     is_eligible,
@@ -119,7 +118,9 @@
     ordered = [name for name in ranked if name in candidates]
     if ordered[0] == ranked[0]:
         return ordered
-    return sorted(ordered, key=lambda name: not has_limit(router.loads, name))
+    endpoints = router.fleet_view.endpoints
+    limited = {name for name in ordered if current_limit(router, endpoints[name])}
+    return sorted(ordered, key=lambda name: name not in limited)
 
 
 def describe_placement(
