--- a/tests/spreads/steps/hot_endpoints.py
+++ b/tests/spreads/steps/hot_endpoints.py
@@ -9,10 +9,10 @@
 from behave import given, then, when
 
 from pulley_base import Clock
-from pulley_direct.attempts import record_head
 from pulley_direct.counters import SENT
 from pulley_direct.fleet_views import FleetView
-from pulley_direct.gossip import receive
+from pulley_direct.gossip_receipts import receive
+from pulley_direct.head_reports import record_head
 from pulley_direct.jobs import Job
 from pulley_direct.loads import LoadTable, get_state
 from pulley_direct.models import (
@@ -218,7 +218,8 @@
     load = ReportedLoad(len(engine.running), len(engine.waiting), 64)
     metadata = AnswerMetadata("r", False, False, load)
     run_later(
-        world, lambda: record_head(work.router, work.job, engine.endpoint, metadata)
+        world,
+        lambda: record_head(work.router, work.job, engine.endpoint, 200, metadata),
     )
 
 
