Print the error of each scenario that fails, and time a stopping router's test anew

Cause: the end of a suite's output is mostly captured log lines, so that the error of a scenario that failed once was cut off. The test of a stopping router set the stop 1 s ahead before the configuration was read, and with the last answers 0.6 s before the kill its short lookup could no longer be answered. Change: run.py prints the last lines of the failed step's message. The test sets the stop as it sends, 1.3 s ahead; what it expects is the same.

--- a/tests/direct/steps/configurations.py
+++ b/tests/direct/steps/configurations.py
@@ -22,6 +22,9 @@
 from pulley_direct.signals import wait_until
 from pulley_direct.trust import is_ready
 
+# A short request can still be answered in it, and the balancer has seen the stop.
+STOPPING_MS = 1_300
+
 
 @when("the store is silent for longer than tokens are accepted without it")
 def silence_store(context):
@@ -91,14 +94,14 @@
 def send_while_stopping(context):
     async def run():
         async with start_fixture() as fixture:
-            clock = fixture.router.clock
-            fixture.router.stops_at_ms = clock.now_ms() + 1_000
             long_route = configuration(2, [TOKEN])
             for row in long_route["routes"]:
                 row["timeoutMs"] = 12_000 if row["type"] == "stream" else 400
             put_document(fixture.store, "op/config", long_route)
             fixture.version = 2
             await wait_until_synced(fixture)
+            clock = fixture.router.clock
+            fixture.router.stops_at_ms = clock.now_ms() + STOPPING_MS
             stream = await call(fixture, CHAT, timeout_ms=12_000)
             lookup = await call(fixture, LOOKUP, timeout_ms=12_000)
             return stream, lookup
--- a/tests/run.py
+++ b/tests/run.py
@@ -19,17 +19,22 @@
 ROOT = Path(__file__).resolve().parent.parent
 MAX_PARALLEL_SUITES = 3
 SUITE_TIMEOUT_S = 1_200
+MAX_ERROR_LINES = 12
 KNOWN_FAILURES_PATH = ROOT / "KNOWN-RED.txt"
 KNOWN_FAILURE_MARK = "test:"
 
 
 @dataclass(frozen=True)
 class Result:
-    """The result of one scenario; ``status`` is behave's, or ``timeout``."""
+    """The result of one scenario; ``status`` is behave's, or ``timeout``.
+
+    ``error`` is the end of the message of the step that failed, if any.
+    """
 
     suite: str
     name: str
     status: str
+    error: str = ""
 
 
 def find_suites() -> list[Path]:
@@ -81,7 +86,15 @@
     for feature in features:
         for element in feature.get("elements", []):
             if element["type"] != "background":
-                yield Result(suite, element["name"], element.get("status", "failed"))
+                status = element.get("status", "failed")
+                yield Result(suite, element["name"], status, read_error(element))
+
+
+def read_error(element: dict) -> str:
+    """Return the last lines of a failed step's message, empty if no step failed."""
+    results = [step.get("result", {}) for step in element.get("steps", [])]
+    lines = [line for one in results for line in one.get("error_message", ())]
+    return "\n".join(lines[-MAX_ERROR_LINES:])
 
 
 def read_known_failures() -> set[str]:
@@ -113,6 +126,7 @@
     for result in failed:
         kind = "FAILED" if result in unexpected else "KNOWN RED"
         print(f"{kind} {result.suite}: {result.name} ({result.status})")
+        print(result.error)
     print(f"{len(passed)} passed, {len(unexpected)} failed")
     return 1 if unexpected else 0
 
