Restart the tests' crashed endpoints on ports that nobody else gets

Cause: an endpoint of the crash scenarios took any free port and listened on it again 0.3 s after its crash; another process can have taken it meanwhile. Change: the port is reserved for as long as the tests run.

--- a/tests/direct/steps/crashing_hosts.py
+++ b/tests/direct/steps/crashing_hosts.py
@@ -11,10 +11,12 @@
     list_endpoint,
     unlist_endpoint,
 )
+from pulley_platform_standins.processes import reserve_address
 from scenes import RouterFixture, start_fixture, wait_until_synced
 
 from pulley_adapter.headers import HEADER_CODEC, format_retry_after
 from pulley_adapter.stores import connect_store
+from pulley_base import split_address
 from pulley_direct.app import RunningRouter, close_router, start_router
 from pulley_http import Client, Request, Response, close_client, start_server
 
@@ -86,14 +88,18 @@
 
 
 async def start_host(scene: HostScene, host: Host) -> None:
-    """Start a host's next endpoint, with a new name unless told, and list it."""
+    """Start a host's next endpoint, with a new name unless told, and list it.
+
+    Its port is one that the kernel gives to nobody while the host is down.
+    """
+    if not host.port:
+        host.port = split_address(reserve_address())[1]
     host.n_starts += 1
     n_names = 1 if scene.keeps_names else host.n_starts
     name = f"{scene.service}-{host.number}-{n_names}"
     endpoint = StandInEndpoint(name, scene.service, slots=50)
     handler = partial(scene.answer, scene, host)
     endpoint.server = await start_server(handler, "127.0.0.1", host.port)
-    host.port = int(endpoint.address.rpartition(":")[2])
     host.endpoint, host.down = endpoint, False
     list_endpoint(scene.fixture.store, endpoint)
 
