Log how many crashes are held against a key, and requests sent in spite of them

From the log of the incident one could not read how many crashes a router held against a request as it sent it again: crash_reported has the score, which counts crashes in succession only.

--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -5,7 +5,13 @@
 
 from pulley_base import log_event, warn_event
 from pulley_policy.crashes import add_clearance, add_report, drop_first, is_quarantined
-from pulley_policy.losses import Clearance, Evidence, LostRequest, score_key
+from pulley_policy.losses import (
+    Clearance,
+    Evidence,
+    LostRequest,
+    count_crashes,
+    score_key,
+)
 
 from .models import CrashReports
 from .signals import Signal
@@ -132,6 +138,8 @@
         reporter=reporter,
         keys=",".join(keys),
         scores=",".join(str(score_key(evidence, key)) for key in keys),
+        n_crashes=",".join(str(count_crashes(evidence, key)) for key in keys),
+        age_ms=lost.age_ms,
     )
     return True
 
--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes.py
@@ -7,7 +7,14 @@
 
 from pulley_base import Reason, log_event
 from pulley_policy.crashes import find_quarantined, record_good
-from pulley_policy.losses import Scores, blame, last_key, probed_keys, score_request
+from pulley_policy.losses import (
+    Scores,
+    blame,
+    count_crashes,
+    last_key,
+    probed_keys,
+    score_request,
+)
 from pulley_policy.probation import (
     Sender,
     find_place,
@@ -57,7 +64,12 @@
     for text in (team, job.call.method, job.call.host, job.call.target, parts):
         digest.update(text.encode("utf-8", "surrogateescape") + b"\0")
     digest.update(job.body)
-    return f"{job.service}/request/{digest.hexdigest()}"
+    return f"{request_key_prefix(job)}{digest.hexdigest()}"
+
+
+def request_key_prefix(job: Job) -> str:
+    """Return how the keys of whole requests to a job's service begin."""
+    return f"{job.service}/request/"
 
 
 def request_hash(job: Job) -> int:
@@ -95,6 +107,23 @@
     return None
 
 
+def log_lost_before(router: Router, job: Job, endpoint: Endpoint) -> None:
+    """Log that a request was sent to an endpoint although it was lost in crashes."""
+    if job.scores is None or not job.scores.keys:
+        return
+    key, score = job.scores.keys[-1], job.scores.scores[-1]
+    if score and key.startswith(request_key_prefix(job)):
+        log_event(
+            logger,
+            "lost_request_sent",
+            request=job.call.request_id,
+            endpoint=endpoint.name,
+            key=key,
+            score=score,
+            n_crashes=count_crashes(router.fleet_view.crash_log.evidence, key),
+        )
+
+
 def find_refused_key(
     router: Router, job: Job, quarantined: list[str], now_ms: int
 ) -> str | None:
--- a/packages/policy/src/pulley_policy/losses.py
+++ b/packages/policy/src/pulley_policy/losses.py
@@ -119,6 +119,11 @@
     return min(max(depths.values()), len(depths)) if depths else 0
 
 
+def count_crashes(evidence: Evidence, key: str) -> int:
+    """Return how many crashes a key is not cleared of, in succession or at once."""
+    return len(evidence.depths.get(key, ()))
+
+
 def score_request(evidence: Evidence, keys: Sequence[str]) -> Scores:
     """Return the scores of a request's keys, to be kept during its next attempt."""
     if evidence.depths.keys().isdisjoint(keys):
