--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/attempts.py
@@ -13,6 +13,7 @@
     connect_channel,
     take_idle,
 )
+from .crashes import log_lost_before
 from .departures import takes_work
 from .exchanges import Exchange, failure_reason
 from .head_reports import record_head
@@ -124,6 +125,7 @@
     job.placement = target.placement
     job.reported = None
     connection.transport.write(encode_request(connection.h11, request, job.body))
+    log_lost_before(router, job, endpoint)
     try:
         head, metadata = await read_matching_head(
             router, job, channel, request, endpoint
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/dispatch.py
@@ -12,7 +12,6 @@
 from .budgets import earn_retry, spend_retry
 from .crashes import (
     find_quarantine,
-    log_lost_before,
     record_good_request,
     record_loss,
     report_after_end,
@@ -222,7 +221,6 @@
     """
     endpoint = target.endpoint
     exchange = await start_exchange(router, job, target, None)
-    log_lost_before(router, job, endpoint)
     try:
         await check_answer(exchange, job)
         if (
