--- a/packages/direct/src/pulley_direct/followers.py
+++ b/packages/direct/src/pulley_direct/followers.py
@@ -43,11 +43,13 @@
 class WatchProgress:
     """Position in the store's history.
 
-    ``revision`` is None if everything has to be read again. ``changed_ms`` is the
-    clock reading at which the last new configuration arrived.
+    ``revision`` is None if everything has to be read again. ``era`` is that of the
+    last answer that told it, ``changed_ms`` the clock reading at which the last new
+    configuration arrived.
     """
 
     revision: int | None = None
+    era: int | None = None
     changed_ms: int | None = None
     n_failures: int = 0
 
@@ -109,6 +111,7 @@
     if progress.revision is None:
         confirmed_ms = started_ms
         changes = await store.read_all()
+        note_era(progress, changes)
         end_outage(fleet_view)
         replace_entries(fleet_view, changes.entries, changes.revision)
     else:
@@ -117,6 +120,7 @@
             warn_event(logger, "history_lost", revision=progress.revision)
             progress.revision = None
             return 0
+        note_era(progress, changes)
         confirmed_ms = watch_confirmed_ms(changes, started_ms, wait_ms)
         end_outage(fleet_view)
         apply_entries(fleet_view, changes.entries)
@@ -127,6 +131,26 @@
     return batch_delay_ms if changes.entries else 0
 
 
+def note_era(progress: WatchProgress, changes: Changes) -> bool:
+    """Record the store's era, and return whether it was restored since the last call.
+
+    An answer that does not tell the era says nothing of that.
+    """
+    if changes.era is None:
+        return False
+    known, progress.era = progress.era, changes.era
+    if known is None or known == changes.era:
+        return False
+    warn_event(
+        logger,
+        "store_restored",
+        era=changes.era,
+        known_era=known,
+        revision=changes.revision,
+    )
+    return True
+
+
 def watch_confirmed_ms(changes: Changes, started_ms: int, wait_ms: int) -> int:
     """Return the time up to which a watch's answer is known to include all changes.
 
--- a/packages/direct/src/pulley_direct/store_calls.py
+++ b/packages/direct/src/pulley_direct/store_calls.py
@@ -26,11 +26,14 @@
 class Changes:
     """Entries read from the store, in order, and the revision to continue from.
 
-    A watch returns the changes, ``read_all`` all entries.
+    A watch returns the changes, ``read_all`` all entries. ``era`` changes when the
+    store is restored from an older copy, None if unknown: revisions go back then and
+    are given out again.
     """
 
     entries: tuple[StoreEntry, ...]
     revision: int
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
