Start anew with the store's words once it was restored from a copy

Callers could be sent to an endpoint whose entry was gone for as long as it takes the store's counter to pass the revision that routers knew: words are ordered by revision, and a restored store gives revisions out again.

The store tells each restore by its era. As it changes, words of the older history no longer order those of the new one, a watch's answer is thrown away and everything is read again, as the counter may have passed its position, and entries that the copy lacks have the grace period of an outage. An endpoint whose removal was read is not used for what the copy says of it, unless it has started since, for 5 s: the entry of one that is gone has lapsed by then.

--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -8,6 +8,7 @@
 from .crash_log import apply_reports
 from .departures import (
     drop_endpoint,
+    is_doubtful,
     is_leaving,
     lapse_grace_end_ms,
     record_leaving,
@@ -56,6 +57,19 @@
     fleet_view.confirmed.notify()
 
 
+def record_restore(fleet_view: FleetView) -> None:
+    """Record that the store has gone back to an older copy of itself.
+
+    Its revisions are those of another history from then on, and entries that the copy
+    lacks may be written again, as after an outage.
+    """
+    now_ms = fleet_view.clock.now_ms()
+    fleet_view.n_restores += 1
+    fleet_view.restored_ms = now_ms
+    fleet_view.outage_end_ms = now_ms
+    fleet_view.restored.notify()
+
+
 def replace_entries(
     fleet_view: FleetView, entries: Iterable[StoreEntry], revision: int
 ) -> None:
@@ -64,6 +78,7 @@
     ``revision`` is the store's at the time of the read.
     """
     entries = list(entries)
+    fleet_view.has_doubts = False
     listed = {entry.name for entry in entries if isinstance(entry, Endpoint)}
     routers = {entry.name for entry in entries if isinstance(entry, RouterEntry)}
     unlisted = fleet_view.endpoints.keys() - listed
@@ -121,13 +136,22 @@
     )
 
 
-def is_newest_word(fleet_view: FleetView, name: str, revision: int) -> bool:
+def is_newest_word(
+    fleet_view: FleetView,
+    name: str,
+    revision: int,
+    removed_started_ms: int | None = None,
+) -> bool:
     """Check that a word of the store about an endpoint is the newest; remember it.
 
-    A word without a revision counts as the newest.
+    A word without a revision counts as the newest, as does the first one after the
+    store was restored. ``removed_started_ms`` is the start of an endpoint that the word
+    removes, None if it lists one.
     """
     last = fleet_view.last_words.get(name)
-    if last is not None and 0 < revision < last.revision:
+    n_restores = fleet_view.n_restores
+    same_history = last is not None and last.n_restores == n_restores
+    if same_history and 0 < revision < last.revision:
         log_event(
             logger,
             "older_word_ignored",
@@ -136,17 +160,29 @@
             known_revision=last.revision,
         )
         return False
-    fleet_view.last_words[name] = LastWord(revision, fleet_view.clock.now_ms())
+    fleet_view.last_words[name] = LastWord(
+        revision, fleet_view.clock.now_ms(), n_restores, removed_started_ms
+    )
     return True
 
 
 def list_endpoint(fleet_view: FleetView, endpoint: Endpoint) -> None:
     """Add or update an endpoint's entry, unless it is older than what is known.
 
-    That an endpoint leaves is taken from an older entry as well.
+    One that may be of a restored copy is taken with a later read. That an endpoint
+    leaves is taken from an older entry as well.
     """
     if endpoint.draining:
         record_leaving(fleet_view, endpoint, LeavingSource.STORE)
+    if is_doubtful(fleet_view, endpoint):
+        fleet_view.has_doubts = True
+        log_event(
+            logger,
+            "restored_entry_doubted",
+            endpoint=endpoint.name,
+            revision=endpoint.revision,
+        )
+        return
     if not is_newest_word(fleet_view, endpoint.name, endpoint.revision):
         return
     known = fleet_view.endpoints.get(endpoint.name)
@@ -171,9 +207,10 @@
 
     An endpoint that leaves gets no grace period.
     """
-    if not is_newest_word(fleet_view, name, revision):
-        return
     endpoint = fleet_view.endpoints.get(name)
+    started_ms = 0 if endpoint is None else endpoint.started_ms
+    if not is_newest_word(fleet_view, name, revision, started_ms):
+        return
     if endpoint is None:
         return
     until_ms = lapse_grace_end_ms(fleet_view)
--- a/packages/direct/src/pulley_direct/departures.py
+++ b/packages/direct/src/pulley_direct/departures.py
@@ -19,6 +19,9 @@
 # Endpoints that start this soon after a service's first one count as part of its
 # initial set, not as having joined.
 INITIAL_START_MS = 15_000
+# The entry of an endpoint that has ended lapses sooner, also one that came back with a
+# copy of the store.
+DOUBT_MS = 5_000
 # An older word about an endpoint that is gone comes sooner than this.
 MEMORY_MS = 600_000
 
@@ -92,6 +95,28 @@
     return leaving is not None and endpoint.started_ms <= leaving.started_ms
 
 
+def is_doubtful(fleet_view: FleetView, endpoint: Endpoint) -> bool:
+    """Check whether an entry may have come back with the copy of a restored store.
+
+    It may if the endpoint's removal was read before, unless it has started since.
+    """
+    last = fleet_view.last_words.get(endpoint.name)
+    if last is None or last.removed_started_ms is None:
+        return False
+    if last.n_restores == fleet_view.n_restores:
+        return False
+    if endpoint.started_ms > last.removed_started_ms:
+        return False
+    return fleet_view.clock.now_ms() < fleet_view.restored_ms + DOUBT_MS
+
+
+def are_doubts_over(fleet_view: FleetView) -> bool:
+    """Check whether entries that were not believed are now, if they are still there."""
+    if not fleet_view.has_doubts:
+        return False
+    return fleet_view.clock.now_ms() >= fleet_view.restored_ms + DOUBT_MS
+
+
 def forget_gone(fleet_view: FleetView) -> None:
     """Forget what was said long ago of endpoints that are no longer listed."""
     oldest_ms = fleet_view.clock.now_ms() - MEMORY_MS
--- a/packages/direct/src/pulley_direct/fleet_views.py
+++ b/packages/direct/src/pulley_direct/fleet_views.py
@@ -42,10 +42,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LastWord:
-    """The store's newest word about an endpoint, and when it was heard, in clock ms."""
+    """The store's newest word about an endpoint, and when it was heard, in clock ms.
+
+    ``n_restores`` tells the history that it belongs to. ``removed_started_ms`` is the
+    start of the endpoint that it removed, as Unix time in ms, None if it lists one.
+    """
 
     revision: int
     heard_ms: int
+    n_restores: int
+    removed_started_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -61,8 +67,11 @@
     leave, ``last_words`` what the store last said of each. ``crash_log`` holds what
     is known of requests that crash endpoints.
     ``failing_since_ms`` is set while the store does not answer,
-    ``outage_end_ms`` after its last outage. ``wall_clock`` reads the time of day
-    and is used only to tell how long ago an endpoint started.
+    ``outage_end_ms`` after its last outage. ``n_restores`` counts how often the store
+    was seen to be restored from a copy, the last time at ``restored_ms``; ``restored``
+    is notified then. ``has_doubts`` is set while an entry of the copy is not believed.
+    ``wall_clock`` reads the time of day and is used only to tell how long ago an
+    endpoint started.
     """
 
     clock: Clock
@@ -79,6 +88,10 @@
     crash_log: CrashLog = field(default_factory=CrashLog)
     failing_since_ms: int | None = None
     outage_end_ms: int | None = None
+    n_restores: int = 0
+    restored_ms: int | None = None
+    restored: Signal = field(default_factory=Signal)
+    has_doubts: bool = False
     changed: Signal = field(default_factory=Signal)
     confirmed: Signal = field(default_factory=Signal)
 
--- a/packages/direct/src/pulley_direct/followers.py
+++ b/packages/direct/src/pulley_direct/followers.py
@@ -10,10 +10,12 @@
 
 from .beliefs import (
     apply_entries,
+    record_restore,
     record_store_failure,
     record_store_success,
     replace_entries,
 )
+from .departures import are_doubts_over
 from .fleet_views import FleetView
 from .store_calls import HISTORY_LOST, Changes, StoreClient
 
@@ -108,10 +110,11 @@
     """Make one read or one watch, and return the delay before the next one in ms."""
     started_ms = clock.now_ms()
     version = current_version(fleet_view)
-    if progress.revision is None:
+    if progress.revision is None or are_doubts_over(fleet_view):
         confirmed_ms = started_ms
         changes = await store.read_all()
-        note_era(progress, changes)
+        if note_era(progress, changes):
+            record_restore(fleet_view)
         end_outage(fleet_view)
         replace_entries(fleet_view, changes.entries, changes.revision)
     else:
@@ -120,7 +123,11 @@
             warn_event(logger, "history_lost", revision=progress.revision)
             progress.revision = None
             return 0
-        note_era(progress, changes)
+        if note_era(progress, changes):
+            # What the new history holds up to this position is not known.
+            record_restore(fleet_view)
+            progress.revision = None
+            return 0
         confirmed_ms = watch_confirmed_ms(changes, started_ms, wait_ms)
         end_outage(fleet_view)
         apply_entries(fleet_view, changes.entries)
