Write a router's own entries again once the store was restored

A restored store may have lost them with their leases, and give a lease's number to somebody else: a renewal then succeeds for nothing. Other routers counted one too few for up to 9 s, or for ever, and a router that started knew of no quarantine for up to 150 s.

Both entries are written under new leases as soon as the store's era changes, the address spread over the time that the fleet's writes take. A write that began before is repeated.

--- a/packages/direct/src/pulley_direct/announcements.py
+++ b/packages/direct/src/pulley_direct/announcements.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import logging
+from random import uniform
 
 from pulley_base import PulleyError, log_event, to_seconds
 
+from .fleet_views import FleetView, sharing_routers
 from .routers import Router
+from .signals import wait_until
 from .store_calls import StoreClient
 
 logger = logging.getLogger(__name__)
@@ -16,20 +19,47 @@
 # Two renewals may fail before the lease expires.
 RENEW_INTERVAL_MS = 9_000
 RETRY_DELAY_MS = 1_000
+# After a restore all routers write their entries again, each with two calls.
+REWRITES_PER_S = 100
+MS_PER_S = 1_000
 
 
 async def announce(store: StoreClient, router: Router) -> None:
-    """Keep this router's entry in the store for as long as the task runs."""
-    lease = None
+    """Keep this router's entry in the store for as long as the task runs.
+
+    A restored store may have lost it, and given the lease to somebody else.
+    """
+    fleet_view = router.fleet_view
+    lease, n_restores = None, fleet_view.n_restores
     while True:
+        if fleet_view.n_restores > n_restores:
+            lease, n_restores = None, fleet_view.n_restores
+            await asyncio.sleep(to_seconds(draw_rewrite_delay_ms(fleet_view)))
         try:
             lease = await renew_entry(store, router, lease)
-            await asyncio.sleep(to_seconds(RENEW_INTERVAL_MS))
+            await wait_restored(fleet_view, n_restores, RENEW_INTERVAL_MS)
         except PulleyError as error:
             log_event(logger, "announcement_failed", error=str(error), lease=lease)
             await asyncio.sleep(to_seconds(RETRY_DELAY_MS))
 
 
+async def wait_restored(
+    fleet_view: FleetView, n_restores: int, timeout_ms: int
+) -> None:
+    """Wait until the store was restored more than ``n_restores`` times."""
+    await wait_until(
+        fleet_view.restored,
+        lambda: fleet_view.n_restores > n_restores,
+        timeout_ms,
+    )
+
+
+def draw_rewrite_delay_ms(fleet_view: FleetView) -> float:
+    """Return how long to wait before a lost entry is written again, in ms."""
+    n_routers = len(sharing_routers(fleet_view))
+    return uniform(0, n_routers * MS_PER_S / REWRITES_PER_S)
+
+
 async def renew_entry(store: StoreClient, router: Router, lease: int | None) -> int:
     """Renew the lease, or grant a new one and write the entry; return the lease."""
     if lease is not None and await store.renew_lease(lease):
--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -5,7 +5,7 @@
 
 from pulley_base import log_event
 
-from .crash_log import apply_reports
+from .crash_log import apply_reports, share_again
 from .departures import (
     drop_endpoint,
     is_doubtful,
@@ -61,12 +61,13 @@
     """Record that the store has gone back to an older copy of itself.
 
     Its revisions are those of another history from then on, and entries that the copy
-    lacks may be written again, as after an outage.
+    lacks may be written again, as after an outage. So are those of this router.
     """
     now_ms = fleet_view.clock.now_ms()
     fleet_view.n_restores += 1
     fleet_view.restored_ms = now_ms
     fleet_view.outage_end_ms = now_ms
+    share_again(fleet_view.crash_log)
     fleet_view.restored.notify()
 
 
--- a/packages/direct/src/pulley_direct/crash_log.py
+++ b/packages/direct/src/pulley_direct/crash_log.py
@@ -120,6 +120,12 @@
     crash_log.changed.notify()
 
 
+def share_again(crash_log: CrashLog) -> None:
+    """Request that evidence in the store, which may have lost it, be written again."""
+    if crash_log.sharing or crash_log.own_cleared:
+        share(crash_log)
+
+
 def apply_reports(crash_log: CrashLog, entry: CrashReports, now_ms: int) -> None:
     """Add what another router's entry reports; known reports change nothing."""
     new = learn_of_reports(crash_log, entry, now_ms)
--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/crash_reports.py
@@ -42,10 +42,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportLease:
-    """A lease for reports, and the clock reading in ms up to which it is reused."""
+    """A lease for reports, and the clock reading in ms up to which it is reused.
+
+    It was granted after ``n_restores`` restores of the store, and lost with the next.
+    """
 
     id: int
     reuse_until_ms: int
+    n_restores: int
 
 
 async def publish_reports(store: StoreClient, router: Router) -> None:
@@ -84,10 +88,8 @@
     lease: ReportLease | None,
 ) -> ReportLease:
     """Write the entry, under a new lease if there is none that lasts long enough."""
-    now_ms = router.clock.now_ms()
-    if lease is None or lease.reuse_until_ms <= now_ms:
-        granted = await store.grant_lease(LEASE_TTL_MS)
-        lease = ReportLease(granted.lease, now_ms + granted.ttl_ms - MIN_LEASE_LEFT_MS)
+    if lease is None or not is_reusable(router, lease):
+        lease = await grant_report_lease(store, router)
     crash_log.pending = False
     lost = list_shared(router)
     cleared = (*crash_log.own_cleared, *list_clearances(crash_log.evidence, lost))
@@ -97,6 +99,21 @@
     return lease
 
 
+def is_reusable(router: Router, lease: ReportLease) -> bool:
+    """Check whether a lease lasts long enough, and the store still has it."""
+    is_known = lease.n_restores == router.fleet_view.n_restores
+    return is_known and router.clock.now_ms() < lease.reuse_until_ms
+
+
+async def grant_report_lease(store: StoreClient, router: Router) -> ReportLease:
+    """Return a new lease for this router's reports."""
+    now_ms = router.clock.now_ms()
+    n_restores = router.fleet_view.n_restores
+    granted = await store.grant_lease(LEASE_TTL_MS)
+    reuse_until_ms = now_ms + granted.ttl_ms - MIN_LEASE_LEFT_MS
+    return ReportLease(granted.lease, reuse_until_ms, n_restores)
+
+
 def list_shared(router: Router) -> tuple[LostRequest, ...]:
     """Return the reports that this router shares: its own, and those it keeps.
 
--- a/tests/direct/restored_store.feature
+++ b/tests/direct/restored_store.feature
@@ -40,6 +40,18 @@
     When it is restored without an endpoint that writes its entry again after 1 s
     Then that endpoint is used all the while
 
+  # Guards against a router that the others no longer count, as its lease's number was
+  # given to somebody else.
+  Scenario Outline: A router's own entries are lost
+    Given a store whose era goes from 1 to 2
+    When it is restored to a copy from before the router's <entry>, and others take leases
+    Then the <entry> is there again within 1500 ms
+
+    Examples:
+      | entry         |
+      | address       |
+      | crash reports |
+
   Scenario Outline: The store tells no era, or none that can be read
     Given a store whose era goes from <era> to <next>
     When it is restored and nothing has changed
