Let a restored store with an older configuration confirm no tokens

A router that missed a removal of tokens, as it was cut off, and then read the copy of a restored store took that as the proof that nothing newer had been accepted, and went on accepting them: the copy holds an older configuration than the one in force, so it may have lost a newer one as well. Such a read counts as an answer and confirms nothing, until the store holds that version or a later one. The scenario of restored_store failed before.

--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/beliefs.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Iterable
 
-from pulley_base import log_event
+from pulley_base import log_event, warn_event
 
 from .crash_log import apply_reports, share_again
 from .departures import (
@@ -45,7 +45,11 @@
 
 
 def record_store_success(fleet_view: FleetView, confirmed_ms: int) -> None:
-    """Record that the store answered; its state is known as of ``confirmed_ms``."""
+    """Record that the store answered; its state is known as of ``confirmed_ms``.
+
+    A store that holds an older configuration than the one in force, as it was restored
+    from a copy, may have lost a newer one as well, and confirms nothing.
+    """
     now_ms = fleet_view.clock.now_ms()
     if fleet_view.failing_since_ms is not None:
         lasted_ms = now_ms - fleet_view.failing_since_ms
@@ -53,10 +57,20 @@
         if lasted_ms >= MIN_OUTAGE_MS:
             fleet_view.outage_end_ms = now_ms
         log_event(logger, "store_regained", lasted_ms=lasted_ms)
-    fleet_view.confirmed_ms = max(confirmed_ms, fleet_view.confirmed_ms or confirmed_ms)
+    if not is_store_behind(fleet_view):
+        known_ms = fleet_view.confirmed_ms
+        fleet_view.confirmed_ms = max(confirmed_ms, known_ms or confirmed_ms)
     fleet_view.confirmed.notify()
 
 
+def is_store_behind(fleet_view: FleetView) -> bool:
+    """Check whether the store holds an older configuration than the one in force."""
+    configuration, stored = fleet_view.configuration, fleet_view.stored_version
+    if configuration is None or stored is None:
+        return False
+    return stored < configuration.version
+
+
 def record_restore(fleet_view: FleetView) -> None:
     """Record that the store has gone back to an older copy of itself.
 
@@ -125,7 +139,15 @@
 def install_configuration(fleet_view: FleetView, candidate: Configuration) -> None:
     """Put a configuration in force unless the current one is as new or newer."""
     current = fleet_view.configuration
+    fleet_view.stored_version = candidate.version
     if current is not None and candidate.version <= current.version:
+        if candidate.version < current.version:
+            warn_event(
+                logger,
+                "older_configuration_ignored",
+                version=candidate.version,
+                known_version=current.version,
+            )
         return
     fleet_view.configuration = candidate
     log_event(
--- a/packages/direct/src/pulley_direct/fleet_views.py
+++ b/packages/direct/src/pulley_direct/fleet_views.py
@@ -59,25 +59,26 @@
     """The configuration in force, the endpoints and the other routers.
 
     ``confirmed_ms`` is the latest clock reading at which the store is known to
-    have held nothing newer, None before the first answer. ``routers`` holds the
-    addresses of the listed routers by name, ``former_routers`` when the entries of
-    others went. ``lapsed`` holds the endpoints whose entries were missing after an
-    outage of the store, with the clock reading at which they count as removed.
-    ``departed`` holds those that left recently, ``leaving`` those that said that they
-    leave, ``last_words`` what the store last said of each. ``crash_log`` holds what
-    is known of requests that crash endpoints.
-    ``failing_since_ms`` is set while the store does not answer,
-    ``outage_end_ms`` after its last outage. ``n_restores`` counts how often the store
-    was seen to be restored from a copy, the last time at ``restored_ms``; ``restored``
-    is notified then. ``has_doubts`` is set while an entry of the copy is not believed.
-    ``wall_clock`` reads the time of day and is used only to tell how long ago an
-    endpoint started.
+    have held nothing newer than the configuration in force, None before the first
+    answer; ``stored_version`` is the version that it held when it was read last.
+    ``routers`` holds the addresses of the listed routers by name, ``former_routers``
+    when the entries of others went. ``lapsed`` holds the endpoints whose entries were
+    missing after an outage of the store, with the clock reading at which they count as
+    removed. ``departed`` holds those that left recently, ``leaving`` those that said
+    that they leave, ``last_words`` what the store last said of each. ``crash_log``
+    holds what is known of requests that crash endpoints. ``failing_since_ms`` is set
+    while the store does not answer, ``outage_end_ms`` after its last outage.
+    ``n_restores`` counts how often the store was seen to be restored from a copy, the
+    last time at ``restored_ms``; ``restored`` is notified then. ``has_doubts`` is set
+    while an entry of the copy is not believed. ``wall_clock`` reads the time of day and
+    is used only to tell how long ago an endpoint started.
     """
 
     clock: Clock
     wall_clock: Clock = field(default_factory=lambda: Clock(wall_time_ms))
     configuration: Configuration | None = None
     confirmed_ms: int | None = None
+    stored_version: int | None = None
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     routers: dict[str, str] = field(default_factory=dict)
     former_routers: dict[str, int] = field(default_factory=dict)
--- a/tests/direct/restored_store.feature
+++ b/tests/direct/restored_store.feature
@@ -52,6 +52,13 @@
       | address       |
       | crash reports |
 
+  # Guards against tokens that are accepted as the copy's configuration is confirmed.
+  Scenario: The copy holds an older configuration
+    Given a store whose era goes from 1 to 2
+    When it is restored to a copy with an older configuration
+    Then the newer one stays in force, and tokens are not accepted for long
+    And they are accepted as soon as the newer one is written again
+
   Scenario Outline: The store tells no era, or none that can be read
     Given a store whose era goes from <era> to <next>
     When it is restored and nothing has changed
