--- a/packages/policy/src/pulley_policy/probation.py
+++ b/packages/policy/src/pulley_policy/probation.py
@@ -120,24 +120,23 @@
         held.lost.team == sender.team for held in reports
     ):
         return False
-    n_turns, turn_ms = divmod(over_ms, TURN_MS)
-    return turn_ms < TURN_OPEN_MS and has_turn(key, n_turns, sender.place)
+    return has_turn(key, over_ms, TURN_MS, TURN_OPEN_MS, sender.place)
 
 
 def may_probe_suspected(
     evidence: Evidence, key: str, sender: Sender, now_ms: int
 ) -> bool:
     """Check whether a request may be sent to probe a suspected key."""
-    since_ms = now_ms - last_loss_ms(find_reports(evidence, key))
-    n_turns, turn_ms = divmod(since_ms, SUSPECTED_TURN_MS)
-    if n_turns < 1:
+    over_ms = now_ms - suspicion_hold_end_ms(find_reports(evidence, key))
+    if over_ms < 0:
         return False
     if key in sender.probes:
         return True
     if was_probed(evidence, key, now_ms, SUSPECTED_TURN_MS):
         return False
-    is_open = turn_ms < SUSPECTED_TURN_OPEN_MS
-    return is_open and has_turn(key, n_turns, sender.place)
+    return has_turn(
+        key, over_ms, SUSPECTED_TURN_MS, SUSPECTED_TURN_OPEN_MS, sender.place
+    )
 
 
 def was_probed(evidence: Evidence, key: str, now_ms: int, within_ms: int) -> bool:
@@ -146,9 +145,14 @@
     return probed_ms is not None and now_ms - probed_ms < within_ms
 
 
-def has_turn(key: str, n_turns: int, place: Place) -> bool:
-    """Check whether it is a router's turn to probe a key."""
-    return draw_rank(f"{key} {n_turns}", place.n_routers) == place.rank
+def has_turn(key: str, over_ms: int, turn_ms: int, open_ms: int, place: Place) -> bool:
+    """Check whether it is a router's turn to probe a key, and early enough in it.
+
+    ``over_ms`` is the time since the key's hold ended.
+    """
+    n_turns, in_turn_ms = divmod(over_ms, turn_ms)
+    is_open = in_turn_ms < open_ms
+    return is_open and draw_rank(f"{key} {n_turns}", place.n_routers) == place.rank
 
 
 def draw_rank(text: str, n_routers: int) -> int:
@@ -164,6 +168,11 @@
     return last_loss_ms(reports) + HOLDS_MS[min(n_lost, len(HOLDS_MS) - 1)]
 
 
+def suspicion_hold_end_ms(reports: Sequence[Held]) -> int:
+    """Return the clock reading in ms from which a suspected key is probed."""
+    return last_loss_ms(reports) + SUSPECTED_TURN_MS
+
+
 def last_loss_ms(reports: Iterable[Held]) -> int:
     """Return the clock reading in ms of the last of some losses."""
     return max(held.lost_ms for held in reports)
@@ -211,7 +220,6 @@
     if is_quarantined(evidence, key, now_ms):
         start_ms, turn_ms = hold_end_ms(reports, key), TURN_MS
     else:
-        start_ms = last_loss_ms(reports) + SUSPECTED_TURN_MS
-        turn_ms = SUSPECTED_TURN_MS
+        start_ms, turn_ms = suspicion_hold_end_ms(reports), SUSPECTED_TURN_MS
     left_ms = start_ms - now_ms
     return left_ms if left_ms > 0 else turn_ms - -left_ms % turn_ms
