--- a/tests/soak/steps/soaks.py
+++ b/tests/soak/steps/soaks.py
@@ -7,11 +7,11 @@
 from pathlib import Path
 
 from behave import then, when
+from pulley_platform_standins.processes import LOOPBACK_IP
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 
 from soak import (  # noqa: E402
-    LOOPBACK_IP,
     Fleet,
     Slot,
     reserve_address,
