Ask for versions anew if the store was restored during the first answers

A restore in the 30 ms in which a router that starts waits for its peers was not asked about again, and an error while asking would have left requests waiting for good.

--- a/packages/direct/src/pulley_direct/gossip.py
+++ b/packages/direct/src/pulley_direct/gossip.py
@@ -158,7 +158,7 @@
 
 def reply(router: Router, message: Message, source: str) -> None:
     """Send a message to the IP:port that a datagram came from, uncounted."""
-    if router.gossip is None:
+    if router.gossip is None or router.gossip.get_write_buffer_size():
         return
     router.gossip.sendto(encode_message(message), split_address(source))
 
--- a/packages/direct/src/pulley_direct/gossip_messages.py
+++ b/packages/direct/src/pulley_direct/gossip_messages.py
@@ -62,7 +62,7 @@
 class VersionMessage:
     """The version of the sender's configuration.
 
-    ``asks`` is 1 if a router with a newer one is to answer, otherwise 0.
+    ``asks`` is 1 if the receiver is to answer with its own, otherwise 0.
     """
 
     version: int
--- a/packages/direct/src/pulley_direct/versions.py
+++ b/packages/direct/src/pulley_direct/versions.py
@@ -33,21 +33,30 @@
     fleet_view = router.fleet_view
     while fleet_view.configuration is None:
         await fleet_view.changed.wait()
-    n_asked = ask_once(router)
-    await wait_until(
-        fleet_view.changed,
-        lambda: fleet_view.n_version_answers >= n_asked,
-        ANSWER_WAIT_MS,
-    )
-    fleet_view.awaits_versions = False
-    fleet_view.changed.notify()
+    n_restores = fleet_view.n_restores
+    await learn_versions(router)
     while True:
-        n_restores = fleet_view.n_restores
         while fleet_view.n_restores == n_restores:
             await fleet_view.restored.wait()
+        n_restores = fleet_view.n_restores
         ask_once(router)
 
 
+async def learn_versions(router: Router) -> None:
+    """Ask other routers, and let requests wait until these have answered or may not."""
+    fleet_view = router.fleet_view
+    try:
+        n_asked = ask_once(router)
+        await wait_until(
+            fleet_view.changed,
+            lambda: fleet_view.n_version_answers >= n_asked,
+            ANSWER_WAIT_MS,
+        )
+    finally:
+        fleet_view.awaits_versions = False
+        fleet_view.changed.notify()
+
+
 def ask_once(router: Router) -> int:
     """Ask some other routers for their versions; return how many."""
     version = router.fleet_view.configuration.version
