--- a/tools/choices.py
+++ b/tools/choices.py
@@ -11,7 +11,7 @@
 from types import SimpleNamespace
 
 from pulley_base import Clock
-from pulley_direct.beliefs import list_endpoint
+from pulley_direct.endpoint_words import list_endpoint
 from pulley_direct.fleet_views import FleetView
 from pulley_direct.loads import LoadTable, eject_outlier, record_outcome
 from pulley_direct.models import Bounds, Endpoint, PromptPart
