Encode a crash report once, and wake only who waits for versions

A crash report was encoded to see if it fits into a datagram and again to be sent. Each version that a peer told woke everything that waits for a change of the fleet, the housekeeping of connections and limits among it: up to twelve times at each start and after each restore of the store.

Change: send_datagram takes what is encoded; versions have a signal of their own, versions_heard. Requests that wait at the start are woken as before, once the answers are there. The steps of peer_versions wait on that signal; what they assert is as it was.

--- a/packages/direct/src/pulley_direct/fleet_views.py
+++ b/packages/direct/src/pulley_direct/fleet_views.py
@@ -62,8 +62,8 @@
     have held nothing newer than the configuration in force, None before the first
     answer; ``stored_version`` is the version that it held when it was read last,
     ``peer_version`` the newest that another router told, at ``peer_version_ms``;
-    ``n_version_answers`` counts what they told, and ``awaits_versions`` is set while a
-    router that starts waits for that.
+    ``n_version_answers`` counts what they told, ``versions_heard`` is notified of each,
+    and ``awaits_versions`` is set while a router that starts waits for that.
     ``routers`` holds the addresses of the listed routers by name, ``former_routers``
     when the entries of others went. ``lapsed`` holds the endpoints whose entries were
     missing after an outage of the store, with the clock reading at which they count as
@@ -86,6 +86,7 @@
     peer_version_ms: int = 0
     n_version_answers: int = 0
     awaits_versions: bool = False
+    versions_heard: Signal = field(default_factory=Signal)
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     routers: dict[str, str] = field(default_factory=dict)
     former_routers: dict[str, int] = field(default_factory=dict)
--- a/packages/direct/src/pulley_direct/gossip.py
+++ b/packages/direct/src/pulley_direct/gossip.py
@@ -124,7 +124,8 @@
 
     Reports that fit into no datagram reach them by the store.
     """
-    if len(encode_message(reports)) > MAX_DATAGRAM_BYTES:
+    data = encode_message(reports)
+    if len(data) > MAX_DATAGRAM_BYTES:
         return
     if router.crash_bucket is None:
         router.crash_bucket = TokenBucket(
@@ -134,18 +135,22 @@
             router.clock.now_ms(),
         )
     if take(router.crash_bucket, router.clock.now_ms()):
-        send_message(router, reports)
+        send_datagram(router, data)
 
 
 def send_message(router: Router, message: Message) -> int:
-    """Send a message to some other routers, if there is a port for it.
+    """Send a message to some other routers; return to how many."""
+    return send_datagram(router, encode_message(message))
+
+
+def send_datagram(router: Router, data: bytes) -> int:
+    """Send a datagram to some other routers, if there is a port for it.
 
     Returns to how many.
     """
     n_sent = 0
     if router.gossip is None:
         return n_sent
-    data = encode_message(message)
     for address in choose_receivers(router):
         if router.gossip.get_write_buffer_size():
             # The link is full; datagrams must not fill the memory.
--- a/packages/direct/src/pulley_direct/versions.py
+++ b/packages/direct/src/pulley_direct/versions.py
@@ -48,7 +48,7 @@
     try:
         n_asked = ask_once(router)
         await wait_until(
-            fleet_view.changed,
+            fleet_view.versions_heard,
             lambda: fleet_view.n_version_answers >= n_asked,
             ANSWER_WAIT_MS,
         )
@@ -85,7 +85,7 @@
         log_event(
             logger, "newer_configuration_heard", version=message.version, known=known
         )
-    fleet_view.changed.notify()
+    fleet_view.versions_heard.notify()
 
 
 def is_outdated(fleet_view: FleetView) -> bool:
--- a/tests/direct/steps/peer_versions.py
+++ b/tests/direct/steps/peer_versions.py
@@ -48,7 +48,7 @@
             await wait_version(third, 1)
             view = third.router.fleet_view
             assert await wait_until(
-                view.changed, lambda: view.peer_version == NEWER, LIMIT_MS
+                view.versions_heard, lambda: view.peer_version == NEWER, LIMIT_MS
             )
             return await play(fixture, third)
 
@@ -101,7 +101,7 @@
             n_before = view.n_version_answers
             first.router.gossip.sendto(b"version 9 1", target)
             assert await wait_until(
-                view.changed, lambda: view.n_version_answers > n_before, LIMIT_MS
+                view.versions_heard, lambda: view.n_version_answers > n_before, LIMIT_MS
             )
             return await order(fixture, second, "request-1")
 
