--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -8,13 +8,13 @@
 from pulley_http import Request, Response
 from pulley_policy.crashes import list_quarantined
 
-from .counters import render_metrics
-from .departures import is_leaving
-from .fleet_views import configuration_age_ms
-from .limits import current_limit
-from .loads import closed_left_ms, estimate_load, is_backing_off, is_closed
-from .routers import Router
-from .trust import has_fresh_tokens, is_ready
+from .endpoints.departures import is_leaving
+from .endpoints.limits import current_limit
+from .requests.trust import has_fresh_tokens, is_ready
+from .state.counters import render_metrics
+from .state.fleet_views import configuration_age_ms
+from .state.loads import closed_left_ms, estimate_load, is_backing_off, is_closed
+from .state.routers import Router
 
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -18,23 +18,23 @@
 from pulley_http import Request, Response, Server, close_server, start_server
 
 from .admin import answer_operator
-from .announcements import announce
-from .channels import ChannelPool, close_unusable_idle
-from .counters import UNANSWERED
-from .crash_reports import publish_reports
-from .departures import forget_gone
-from .fleet_views import FleetView
-from .followers import follow_store
-from .front import handle_request
-from .gossip import close_gossip, open_gossip
+from .endpoints.departures import forget_gone
 from .gossip_receipts import receive
-from .loads import LoadTable, remove_unlisted
-from .models import HeaderCodec, RouterSettings
-from .rotation import LAST_CONNECTIONS_MS, SHUTDOWN_MARGIN_MS
-from .routers import Router
-from .store_calls import StoreClient
-from .trust import is_ready
-from .versions import ask_versions
+from .peers.gossip import close_gossip, open_gossip
+from .peers.versions import ask_versions
+from .requests.front import handle_request
+from .requests.trust import is_ready
+from .state.channels import ChannelPool, close_unusable_idle
+from .state.counters import UNANSWERED
+from .state.fleet_views import FleetView
+from .state.loads import LoadTable, remove_unlisted
+from .state.models import HeaderCodec, RouterSettings
+from .state.routers import Router
+from .store.announcements import announce
+from .store.crash_reports import publish_reports
+from .store.followers import follow_store
+from .store.store_calls import StoreClient
+from .transport.rotation import LAST_CONNECTIONS_MS, SHUTDOWN_MARGIN_MS
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/packages/direct/src/pulley_direct/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash endpoints: keys, probes and verdicts."""
--- a/packages/direct/src/pulley_direct/crash_keys.py
+++ b/packages/direct/src/pulley_direct/crashes/crash_keys.py
@@ -2,8 +2,8 @@
 
 from hashlib import blake2b
 
-from .jobs import Job
-from .models import Endpoint
+from ..state.jobs import Job
+from ..state.models import Endpoint
 
 # Longer digests, longer prompts and longer names are truncated.
 MAX_DIGEST_LENGTH = 64
--- a/packages/direct/src/pulley_direct/crash_probes.py
+++ b/packages/direct/src/pulley_direct/crashes/crash_probes.py
@@ -6,8 +6,8 @@
 from pulley_base import PulleyError, to_seconds
 from pulley_http.connections import ClientConnection, open_connection
 
-from .routers import Router
-from .waits import read_within
+from ..state.routers import Router
+from ..transport.waits import read_within
 
 PROBE_TIMEOUT_MS = 200
 # A dying process may accept a connection before it closes all that it holds, and then
--- a/packages/direct/src/pulley_direct/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes/crashes.py
@@ -24,6 +24,17 @@
     start_probes,
 )
 
+from ..peers.gossip import tell_crashes
+from ..state.crash_log import (
+    OWN,
+    note_if_sound,
+    record_own_clearance,
+    record_own_loss,
+    record_sound_request,
+)
+from ..state.jobs import AttemptFailed, Job, Loss
+from ..state.models import CrashReports, Endpoint, RetryClass
+from ..state.routers import Router
 from .crash_keys import (
     crash_id,
     part_keys,
@@ -32,18 +43,7 @@
     request_key_prefix,
     team_name,
 )
-from .crash_log import (
-    OWN,
-    note_if_sound,
-    record_own_clearance,
-    record_own_loss,
-    record_sound_request,
-)
 from .crash_probes import ProbeResult, start_probe
-from .gossip import tell_crashes
-from .jobs import AttemptFailed, Job, Loss
-from .models import CrashReports, Endpoint, RetryClass
-from .routers import Router
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/availability.py
+++ b/packages/direct/src/pulley_direct/endpoints/availability.py
@@ -2,11 +2,11 @@
 
 from math import ceil
 
+from ..state.loads import closed_left_ms, is_closed
+from ..state.models import Endpoint
+from ..state.routers import Router
 from .departures import usable_endpoints
 from .limits import fleet_left_ms, limit_left_ms
-from .loads import closed_left_ms, is_closed
-from .models import Endpoint
-from .routers import Router
 
 
 def is_open(router: Router, endpoint: Endpoint) -> bool:
--- a/packages/direct/src/pulley_direct/budgets.py
+++ b/packages/direct/src/pulley_direct/endpoints/budgets.py
@@ -3,9 +3,9 @@
 from pulley_base import Reason
 from pulley_policy.retries import RetryBudget
 
-from .fleet_views import sharing_routers
-from .jobs import Job
-from .routers import Router
+from ..state.fleet_views import sharing_routers
+from ..state.jobs import Job
+from ..state.routers import Router
 
 # Each router uses this part of its share of the fleet's retry budget; the rest is for
 # routers that have just started with a full share of their own.
--- a/packages/direct/src/pulley_direct/departures.py
+++ b/packages/direct/src/pulley_direct/endpoints/departures.py
@@ -5,8 +5,8 @@
 from pulley_base import log_event
 from pulley_policy.homes import Place
 
-from .fleet_views import Departure, FleetView, Leaving, LeavingSource
-from .models import Endpoint
+from ..state.fleet_views import Departure, FleetView, Leaving, LeavingSource
+from ..state.models import Endpoint
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/failures.py
+++ b/packages/direct/src/pulley_direct/endpoints/failures.py
@@ -4,11 +4,11 @@
 
 from pulley_base import Reason, log_event
 
-from .jobs import AttemptFailed, Job
-from .loads import get_state
-from .models import Call
+from ..state.jobs import AttemptFailed, Job
+from ..state.loads import get_state
+from ..state.models import Call
+from ..state.routers import Router
 from .outcomes import record_failed_attempt
-from .routers import Router
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/limits.py
+++ b/packages/direct/src/pulley_direct/endpoints/limits.py
@@ -17,12 +17,12 @@
     update_allowance,
 )
 
+from ..peers.gossip import tell_limit, tell_limit_ended
+from ..state.fleet_views import sharing_routers
+from ..state.loads import RateLimit, get_state
+from ..state.models import Endpoint
+from ..state.routers import Router
 from .budgets import count_routers
-from .fleet_views import sharing_routers
-from .gossip import tell_limit, tell_limit_ended
-from .loads import RateLimit, get_state
-from .models import Endpoint
-from .routers import Router
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/outcomes.py
+++ b/packages/direct/src/pulley_direct/endpoints/outcomes.py
@@ -4,11 +4,11 @@
 
 from pulley_base import Reason, log_event
 
+from ..state.jobs import Job
+from ..state.loads import eject_outlier, get_state, record_outcome, start_backoff
+from ..state.models import Endpoint
+from ..state.routers import Router
 from .departures import usable_endpoints
-from .jobs import Job
-from .loads import eject_outlier, get_state, record_outcome, start_backoff
-from .models import Endpoint
-from .routers import Router
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/placing.py
+++ b/packages/direct/src/pulley_direct/endpoints/placing.py
@@ -13,18 +13,18 @@
     measure_spread,
 )
 
-from .availability import is_open
-from .departures import service_places, usable_endpoints
-from .jobs import Job, Placement
-from .limits import count_request, current_limit
-from .loads import (
+from ..state.jobs import Job, Placement
+from ..state.loads import (
     estimate_load,
     is_backing_off,
     is_closed,
     is_eligible,
 )
-from .models import Endpoint, PromptPart
-from .routers import Router
+from ..state.models import Endpoint, PromptPart
+from ..state.routers import Router
+from .availability import is_open
+from .departures import service_places, usable_endpoints
+from .limits import count_request, current_limit
 
 # The longest key, in bytes, that blake2b accepts; longer digests are truncated.
 MAX_DIGEST_BYTES = 64
--- a/packages/direct/src/pulley_direct/gossip_receipts.py
+++ b/packages/direct/src/pulley_direct/gossip_receipts.py
@@ -5,12 +5,10 @@
 from pulley_base import ProtocolError
 from pulley_policy.losses import count_crashes
 
-from .counters import DROPPED, RECEIVED
-from .crash_log import add_reports
-from .departures import record_leaving
-from .fleet_views import LeavingSource
-from .gossip import MAX_RECEIVERS, tell_crashes
-from .gossip_messages import (
+from .endpoints.departures import record_leaving
+from .endpoints.limits import hear_peer_limit, hear_peer_limit_ended
+from .peers.gossip import MAX_RECEIVERS, tell_crashes
+from .peers.gossip_messages import (
     EndpointMessage,
     LeavingMessage,
     LimitEndedMessage,
@@ -20,11 +18,13 @@
     VersionMessage,
     decode_message,
 )
-from .limits import hear_peer_limit, hear_peer_limit_ended
-from .loads import record_load
-from .models import CrashReports
-from .routers import Router
-from .versions import answer_version, hear_version
+from .peers.versions import answer_version, hear_version
+from .state.counters import DROPPED, RECEIVED
+from .state.crash_log import add_reports
+from .state.fleet_views import LeavingSource
+from .state.loads import record_load
+from .state.models import CrashReports
+from .state.routers import Router
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/crash_documents.py
+++ b/packages/direct/src/pulley_direct/peers/crash_documents.py
@@ -6,7 +6,7 @@
 from pulley_base import ProtocolError
 from pulley_policy.losses import Clearance, LostRequest, Suspect
 
-from .models import CrashReports
+from ..state.models import CrashReports
 
 MAX_VALUE_BYTES = 768 * 1024
 MAX_TEXT_LENGTH = 256
--- a/packages/direct/src/pulley_direct/gossip.py
+++ b/packages/direct/src/pulley_direct/peers/gossip.py
@@ -13,7 +13,11 @@
 from pulley_base import log_event, split_address, warn_event
 from pulley_policy.buckets import TokenBucket, take
 
-from .counters import SENT
+from ..state.counters import SENT
+from ..state.jobs import Job
+from ..state.loads import RateLimit, get_state
+from ..state.models import CrashReports, Endpoint
+from ..state.routers import Router
 from .gossip_messages import (
     MAX_DATAGRAM_BYTES,
     MAX_RATE_PER_KS,
@@ -24,10 +28,6 @@
     Message,
     encode_message,
 )
-from .jobs import Job
-from .loads import RateLimit, get_state
-from .models import CrashReports, Endpoint
-from .routers import Router
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/gossip_messages.py
+++ b/packages/direct/src/pulley_direct/peers/gossip_messages.py
@@ -10,8 +10,8 @@
 
 from pulley_base import ProtocolError
 
+from ..state.models import CrashReports
 from .crash_documents import decode_reports, encode_reports
-from .models import CrashReports
 
 # Larger datagrams may be split on the way.
 MAX_DATAGRAM_BYTES = 1_200
--- a/packages/direct/src/pulley_direct/versions.py
+++ b/packages/direct/src/pulley_direct/peers/versions.py
@@ -10,11 +10,11 @@
 
 from pulley_base import log_event
 
-from .fleet_views import FleetView
+from ..state.fleet_views import FleetView
+from ..state.routers import Router
+from ..state.signals import wait_until
 from .gossip import reply, send_message
 from .gossip_messages import VersionMessage
-from .routers import Router
-from .signals import wait_until
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/packages/direct/src/pulley_direct/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: admission, attempts, answers, retries and resumptions."""
--- a/packages/direct/src/pulley_direct/answer_ends.py
+++ b/packages/direct/src/pulley_direct/requests/answer_ends.py
@@ -8,12 +8,12 @@
 
 from pulley_base import ConnectionLost, log_event, time_limit
 
-from .counters import COMPLETE
-from .crash_probes import ProbeResult, probe_endpoint
-from .exchanges import Exchange
-from .jobs import Job
-from .rotation import time_left_ms
-from .waits import AnswerTimeout
+from ..crashes.crash_probes import ProbeResult, probe_endpoint
+from ..state.counters import COMPLETE
+from ..state.jobs import Job
+from ..transport.exchanges import Exchange
+from ..transport.rotation import time_left_ms
+from ..transport.waits import AnswerTimeout
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/answer_heads.py
+++ b/packages/direct/src/pulley_direct/requests/answer_heads.py
@@ -8,14 +8,14 @@
 from pulley_base import ConnectionLost, Reason, log_event
 from pulley_http.connections import parse_event
 
-from .channels import Channel
-from .exchanges import MAX_BODY_BYTES, MAX_PIECES_PER_TURN
+from ..state.channels import Channel
+from ..state.jobs import Job
+from ..state.models import AnswerMetadata, Endpoint
+from ..state.routers import Router
+from ..transport.exchanges import MAX_BODY_BYTES, MAX_PIECES_PER_TURN
+from ..transport.request_heads import encode_request
+from ..transport.waits import wait_for_bytes
 from .head_reports import hear_leaving
-from .jobs import Job
-from .models import AnswerMetadata, Endpoint
-from .request_heads import encode_request
-from .routers import Router
-from .waits import wait_for_bytes
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/attempts.py
+++ b/packages/direct/src/pulley_direct/requests/attempts.py
@@ -4,25 +4,25 @@
 
 from pulley_base import PulleyError, Reason
 
-from .answer_heads import read_matching_head
-from .budgets import count_routers
-from .channels import (
+from ..crashes.crashes import log_lost_before
+from ..endpoints.budgets import count_routers
+from ..endpoints.departures import takes_work
+from ..endpoints.placing import Target
+from ..state.channels import (
     Channel,
     allow_late_reading,
     close_channel,
     connect_channel,
     take_idle,
 )
-from .crashes import log_lost_before
-from .departures import takes_work
-from .exchanges import Exchange, failure_reason
+from ..state.jobs import AttemptFailed, Job
+from ..state.loads import get_state, is_closed
+from ..state.models import Endpoint
+from ..state.routers import Router
+from ..transport.exchanges import Exchange, failure_reason
+from ..transport.request_heads import build_request_headers, encode_request
+from .answer_heads import read_matching_head
 from .head_reports import record_head
-from .jobs import AttemptFailed, Job
-from .loads import get_state, is_closed
-from .models import Endpoint
-from .placing import Target
-from .request_heads import build_request_headers, encode_request
-from .routers import Router
 
 # Endpoints reset connections over their limit; the rest is for routers that are just
 # starting or stopping, which also hold connections.
--- a/packages/direct/src/pulley_direct/bodies.py
+++ b/packages/direct/src/pulley_direct/requests/bodies.py
@@ -2,15 +2,15 @@
 
 from pulley_base import ConnectionLost, PulleyError
 
-from .answer_ends import confirm_end
-from .exchanges import (
+from ..state.jobs import Job
+from ..transport.exchanges import (
     MAX_BODY_BYTES,
     Exchange,
     attempt_failure,
     is_framed,
     read_chunk,
 )
-from .jobs import Job
+from .answer_ends import confirm_end
 
 
 async def read_whole_body(exchange: Exchange, job: Job) -> bytes:
--- a/packages/direct/src/pulley_direct/dispatch.py
+++ b/packages/direct/src/pulley_direct/requests/dispatch.py
@@ -6,11 +6,7 @@
 from pulley_base import Outcome, Reason, log_event
 from pulley_http import RequestRefused, Response, drop_hop_by_hop_headers
 
-from .attempts import start_exchange
-from .availability import opens_in_ms
-from .bodies import read_whole_body
-from .budgets import earn_retry, spend_retry
-from .crashes import (
+from ..crashes.crashes import (
     find_blocking_key,
     record_good_request,
     record_loss,
@@ -18,20 +14,24 @@
     report_if_suspect,
     retry_after_probation_ms,
 )
-from .exchanges import end_exchange
-from .failures import handle_attempt_failure
-from .jobs import AttemptFailed, Elsewhere, Job
-from .loads import record_success
-from .models import Endpoint, RetryClass
-from .outcomes import count_answer
-from .placing import Target, choose_target
+from ..endpoints.availability import opens_in_ms
+from ..endpoints.budgets import earn_retry, spend_retry
+from ..endpoints.failures import handle_attempt_failure
+from ..endpoints.outcomes import count_answer
+from ..endpoints.placing import Target, choose_target
+from ..state.jobs import AttemptFailed, Elsewhere, Job
+from ..state.loads import record_success
+from ..state.models import Endpoint, RetryClass
+from ..state.routers import Router
+from ..transport.exchanges import end_exchange
+from ..transport.rotation import time_left_ms
+from ..transport.takeovers import has_other_answer, stop_other, take_other_answer
+from .attempts import start_exchange
+from .bodies import read_whole_body
 from .rejections import check_answer
 from .resends import retry_denial_reason, should_retry_error
 from .resumptions import resume_stream
-from .rotation import time_left_ms
-from .routers import Router
 from .streams import EventStream, open_stream
-from .takeovers import has_other_answer, stop_other, take_other_answer
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/front.py
+++ b/packages/direct/src/pulley_direct/requests/front.py
@@ -7,17 +7,17 @@
 from pulley_base import Reason, log_event
 from pulley_http import Request, RequestRefused, Response, read_all
 
-from .counters import CANCELLED, observe_ms
+from ..peers.versions import is_outdated
+from ..state.counters import CANCELLED, observe_ms
+from ..state.fleet_views import FleetView, configuration_age_ms
+from ..state.jobs import Job
+from ..state.models import Call, Configuration
+from ..state.routers import Router
+from ..state.routes import choose_service, find_route, find_team, refresh_index
+from ..state.signals import wait_until
+from ..transport.rotation import can_finish
 from .dispatch import dispatch
-from .fleet_views import FleetView, configuration_age_ms
-from .jobs import Job
-from .models import Call, Configuration
-from .rotation import can_finish
-from .routers import Router
-from .routes import choose_service, find_route, find_team, refresh_index
-from .signals import wait_until
 from .trust import has_fresh_tokens
-from .versions import is_outdated
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/head_reports.py
+++ b/packages/direct/src/pulley_direct/requests/head_reports.py
@@ -4,15 +4,15 @@
 
 from pulley_base import log_event
 
-from .departures import record_leaving
-from .fleet_views import LeavingSource
-from .gossip import tell_leaving, tell_load
-from .jobs import Job
-from .limits import hear_limit
-from .loads import close_endpoint, record_report
-from .models import AnswerMetadata, Endpoint
+from ..endpoints.departures import record_leaving
+from ..endpoints.limits import hear_limit
+from ..peers.gossip import tell_leaving, tell_load
+from ..state.fleet_views import LeavingSource
+from ..state.jobs import Job
+from ..state.loads import close_endpoint, record_report
+from ..state.models import AnswerMetadata, Endpoint
+from ..state.routers import Router
 from .rejections import MISDIRECTED_STATUS
-from .routers import Router
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/rejections.py
+++ b/packages/direct/src/pulley_direct/requests/rejections.py
@@ -2,9 +2,9 @@
 
 from pulley_base import Reason
 
+from ..state.jobs import AttemptFailed, Job
+from ..transport.exchanges import Exchange
 from .bodies import read_body
-from .exchanges import Exchange
-from .jobs import AttemptFailed, Job
 
 MISDIRECTED_STATUS = 421
 
--- a/packages/direct/src/pulley_direct/resends.py
+++ b/packages/direct/src/pulley_direct/requests/resends.py
@@ -3,10 +3,10 @@
 from pulley_base import Reason
 from pulley_http import Response
 
-from .budgets import spend_retry
-from .jobs import AttemptFailed, Job
-from .rotation import time_left_ms
-from .routers import Router
+from ..endpoints.budgets import spend_retry
+from ..state.jobs import AttemptFailed, Job
+from ..state.routers import Router
+from ..transport.rotation import time_left_ms
 
 
 def retry_denial_reason(
--- a/packages/direct/src/pulley_direct/resumptions.py
+++ b/packages/direct/src/pulley_direct/requests/resumptions.py
@@ -2,18 +2,18 @@
 
 from pulley_base import Reason
 
+from ..crashes.crashes import find_blocking_key
+from ..endpoints.budgets import spend_retry
+from ..endpoints.failures import handle_attempt_failure
+from ..endpoints.placing import Target, choose_target
+from ..state.jobs import AttemptFailed, Job
+from ..state.routers import Router
+from ..transport.exchanges import Exchange, end_exchange, stream_head
+from ..transport.rotation import time_left_ms
+from ..transport.takeovers import stop_other, take_other_answer
 from .attempts import start_exchange
-from .budgets import spend_retry
-from .crashes import find_blocking_key
-from .exchanges import Exchange, end_exchange, stream_head
-from .failures import handle_attempt_failure
-from .jobs import AttemptFailed, Job
-from .placing import Target, choose_target
 from .rejections import check_answer
 from .resends import has_attempts_left
-from .rotation import time_left_ms
-from .routers import Router
-from .takeovers import stop_other, take_other_answer
 
 
 async def resume_stream(
--- a/packages/direct/src/pulley_direct/streams.py
+++ b/packages/direct/src/pulley_direct/requests/streams.py
@@ -6,10 +6,13 @@
 from pulley_base import ConnectionLost, PulleyError, Reason, log_event
 from pulley_http import Response, drop_hop_by_hop_headers
 
-from .answer_ends import confirm_end
-from .crashes import record_good_answer
-from .events import EventBuffer, is_inside_event, take_events, take_rest
-from .exchanges import (
+from ..crashes.crashes import record_good_answer
+from ..endpoints.outcomes import MIN_SILENCE_MS, record_failed_attempt
+from ..state.jobs import Elsewhere, Job
+from ..state.loads import record_success
+from ..state.models import Endpoint
+from ..state.routers import Router
+from ..transport.exchanges import (
     Exchange,
     attempt_failure,
     end_exchange,
@@ -18,12 +21,9 @@
     read_chunk,
     stream_head,
 )
-from .jobs import Elsewhere, Job
-from .loads import record_success
-from .models import Endpoint
-from .outcomes import MIN_SILENCE_MS, record_failed_attempt
-from .routers import Router
-from .takeovers import stop_other, take_other_answer
+from ..transport.takeovers import stop_other, take_other_answer
+from .answer_ends import confirm_end
+from .events import EventBuffer, is_inside_event, take_events, take_rest
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/trust.py
+++ b/packages/direct/src/pulley_direct/requests/trust.py
@@ -1,8 +1,8 @@
 """Whether the router's configuration is recent enough to accept tokens."""
 
-from .fleet_views import configuration_age_ms
-from .routers import Router
-from .versions import is_outdated
+from ..peers.versions import is_outdated
+from ..state.fleet_views import configuration_age_ms
+from ..state.routers import Router
 
 # Tokens are accepted without a new confirmation for this part of the time within
 # which a removed one must stop working; the rest is for an admitted request's way to
--- /dev/null
+++ b/packages/direct/src/pulley_direct/state/__init__.py
@@ -0,0 +1,1 @@
+"""State of one router, the types of its parts, and the signals of its changes."""
--- a/packages/direct/src/pulley_direct/announcements.py
+++ b/packages/direct/src/pulley_direct/store/announcements.py
@@ -6,9 +6,9 @@
 
 from pulley_base import PulleyError, log_event, to_seconds
 
-from .fleet_views import FleetView, sharing_routers
-from .routers import Router
-from .signals import wait_until
+from ..state.fleet_views import FleetView, sharing_routers
+from ..state.routers import Router
+from ..state.signals import wait_until
 from .store_calls import StoreClient
 
 logger = logging.getLogger(__name__)
--- a/packages/direct/src/pulley_direct/beliefs.py
+++ b/packages/direct/src/pulley_direct/store/beliefs.py
@@ -5,13 +5,12 @@
 
 from pulley_base import log_event, warn_event
 
-from .crash_log import apply_reports, share_again
-from .endpoint_words import list_endpoint, remove_endpoint
-from .fleet_views import (
+from ..state.crash_log import apply_reports, share_again
+from ..state.fleet_views import (
     FleetView,
     configuration_age_ms,
 )
-from .models import (
+from ..state.models import (
     Configuration,
     CrashReports,
     Endpoint,
@@ -20,6 +19,7 @@
     RouterRemoved,
     StoreEntry,
 )
+from .endpoint_words import list_endpoint, remove_endpoint
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/crash_reports.py
+++ b/packages/direct/src/pulley_direct/store/crash_reports.py
@@ -13,15 +13,15 @@
 from pulley_policy.losses import Clearance, Evidence, LostRequest
 from pulley_policy.probation import find_place
 
-from .crash_log import (
+from ..state.crash_log import (
     CLEARANCE_MS,
     MAX_OWN_BARE_REPORTS,
     MAX_OWN_REPORTS,
     CrashLog,
 )
-from .models import CrashReports
-from .routers import Router
-from .signals import wait_until
+from ..state.models import CrashReports
+from ..state.routers import Router
+from ..state.signals import wait_until
 from .store_calls import StoreCallRefused, StoreClient
 
 logger = logging.getLogger(__name__)
--- a/packages/direct/src/pulley_direct/endpoint_words.py
+++ b/packages/direct/src/pulley_direct/store/endpoint_words.py
@@ -4,15 +4,15 @@
 
 from pulley_base import log_event
 
-from .departures import (
+from ..endpoints.departures import (
     drop_endpoint,
     is_doubtful,
     is_leaving,
     lapse_grace_end_ms,
     record_leaving,
 )
-from .fleet_views import FleetView, LastWord, LeavingSource
-from .models import Endpoint
+from ..state.fleet_views import FleetView, LastWord, LeavingSource
+from ..state.models import Endpoint
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/followers.py
+++ b/packages/direct/src/pulley_direct/store/followers.py
@@ -8,6 +8,8 @@
 from pulley_base import Clock, PulleyError, to_seconds, warn_event
 from pulley_policy.retries import draw_half_jitter_ms
 
+from ..endpoints.departures import are_doubts_over
+from ..state.fleet_views import FleetView
 from .beliefs import (
     apply_entries,
     record_restore,
@@ -15,8 +17,6 @@
     record_store_success,
     replace_entries,
 )
-from .departures import are_doubts_over
-from .fleet_views import FleetView
 from .store_calls import HISTORY_LOST, Changes, StoreClient
 
 logger = logging.getLogger(__name__)
--- a/packages/direct/src/pulley_direct/store_calls.py
+++ b/packages/direct/src/pulley_direct/store/store_calls.py
@@ -5,7 +5,7 @@
 
 from pulley_base import PulleyError, Sentinel
 
-from .models import CrashReports, StoreEntry
+from ..state.models import CrashReports, StoreEntry
 
 HISTORY_LOST = Sentinel("history_lost", "the store no longer has these changes")
 
--- /dev/null
+++ b/packages/direct/src/pulley_direct/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Requests written to endpoints, and waits for their bytes."""
--- a/packages/direct/src/pulley_direct/exchanges.py
+++ b/packages/direct/src/pulley_direct/transport/exchanges.py
@@ -9,11 +9,11 @@
 from pulley_http import Headers, media_type, shows_its_end
 from pulley_http.connections import parse_event
 
-from .channels import Channel, close_channel, release_channel
-from .jobs import AttemptFailed, Job, StreamHead
-from .loads import get_state
-from .models import AnswerMetadata, Endpoint
-from .routers import Router
+from ..state.channels import Channel, close_channel, release_channel
+from ..state.jobs import AttemptFailed, Job, StreamHead
+from ..state.loads import get_state
+from ..state.models import AnswerMetadata, Endpoint
+from ..state.routers import Router
 from .waits import AnswerTimeout, wait_for_bytes
 
 # Larger than any answer that is buffered whole, and a small part of a router's
--- a/packages/direct/src/pulley_direct/request_heads.py
+++ b/packages/direct/src/pulley_direct/transport/request_heads.py
@@ -4,10 +4,10 @@
 
 from pulley_http import Headers
 
-from .jobs import Job
-from .models import AttemptParameters
-from .placing import Target
-from .routers import Router
+from ..endpoints.placing import Target
+from ..state.jobs import Job
+from ..state.models import AttemptParameters
+from ..state.routers import Router
 
 
 def build_request_headers(
--- a/packages/direct/src/pulley_direct/rotation.py
+++ b/packages/direct/src/pulley_direct/transport/rotation.py
@@ -1,8 +1,8 @@
 """Requests at a router that stops: which it takes, and until when it answers them."""
 
-from .jobs import Job
-from .models import RetryClass
-from .routers import Router
+from ..state.jobs import Job
+from ..state.models import RetryClass
+from ..state.routers import Router
 
 # The balancer checks readiness each second and removes an instance after two failed
 # checks.
--- a/packages/direct/src/pulley_direct/takeovers.py
+++ b/packages/direct/src/pulley_direct/transport/takeovers.py
@@ -8,10 +8,10 @@
 from pulley_base import Reason, log_event
 from pulley_http.connections import ClientConnection
 
-from .jobs import Job, OtherAttempt
-from .models import Endpoint
-from .outcomes import record_failed_attempt
-from .routers import Router
+from ..endpoints.outcomes import record_failed_attempt
+from ..state.jobs import Job, OtherAttempt
+from ..state.models import Endpoint
+from ..state.routers import Router
 
 logger = logging.getLogger(__name__)
 
--- a/packages/direct/src/pulley_direct/waits.py
+++ b/packages/direct/src/pulley_direct/transport/waits.py
@@ -5,15 +5,15 @@
 from pulley_base import PulleyError, time_limit
 from pulley_http.connections import ClientConnection, read_more
 
-from .availability import is_open
-from .budgets import reserve_retry
-from .departures import usable_endpoints
-from .jobs import Job
-from .loads import is_unreachable
-from .models import Endpoint, RetryClass
-from .outcomes import record_if_late, time_to_target_ms
+from ..endpoints.availability import is_open
+from ..endpoints.budgets import reserve_retry
+from ..endpoints.departures import usable_endpoints
+from ..endpoints.outcomes import record_if_late, time_to_target_ms
+from ..state.jobs import Job
+from ..state.loads import is_unreachable
+from ..state.models import Endpoint, RetryClass
+from ..state.routers import Router
 from .rotation import time_left_ms
-from .routers import Router
 from .takeovers import has_ended_other, has_other_answer, settle_other, start_other
 
 # How often the state of a silent endpoint is checked.
--- a/tests/adapter/steps/crash_documents.py
+++ b/tests/adapter/steps/crash_documents.py
@@ -9,15 +9,15 @@
 from pulley_adapter.names import CRASH_PREFIX
 from pulley_adapter.stores import connect_store
 from pulley_base import ProtocolError
-from pulley_direct.crash_documents import MAX_VALUE_BYTES, encode_reports
-from pulley_direct.crash_keys import MAX_DIGEST_LENGTH, MAX_KEY_PARTS
-from pulley_direct.crash_log import (
+from pulley_direct.crashes.crash_keys import MAX_DIGEST_LENGTH, MAX_KEY_PARTS
+from pulley_direct.peers.crash_documents import MAX_VALUE_BYTES, encode_reports
+from pulley_direct.state.crash_log import (
     SHARED_CLEARANCE_SCORE,
     CrashLog,
     record_own_clearance,
     record_own_loss,
 )
-from pulley_direct.models import CrashReports
+from pulley_direct.state.models import CrashReports
 from pulley_http import Client, close_client
 from pulley_policy.losses import Clearance, LostRequest, Suspect
 
--- a/tests/adapter/steps/documents.py
+++ b/tests/adapter/steps/documents.py
@@ -9,7 +9,7 @@
 from pulley_adapter.documents import decode_entry
 from pulley_adapter.headers import read_call
 from pulley_base import ProtocolError
-from pulley_direct.models import Endpoint, RetryClass, Team
+from pulley_direct.state.models import Endpoint, RetryClass, Team
 from pulley_http import Request
 
 
--- a/tests/adapter/steps/odd_entries.py
+++ b/tests/adapter/steps/odd_entries.py
@@ -12,7 +12,7 @@
 from pulley_adapter.headers import attempt_headers
 from pulley_adapter.stores import decode_items
 from pulley_base import split_address
-from pulley_direct.models import (
+from pulley_direct.state.models import (
     AttemptParameters,
     Call,
     Endpoint,
--- a/tests/adapter/steps/slices.py
+++ b/tests/adapter/steps/slices.py
@@ -10,7 +10,7 @@
 from behave import then, when
 
 from pulley_adapter import stores
-from pulley_direct.models import Configuration
+from pulley_direct.state.models import Configuration
 from pulley_http import Client, Response
 
 # A busy machine may interrupt some of the rounds.
--- a/tests/adapter/steps/store_calls.py
+++ b/tests/adapter/steps/store_calls.py
@@ -13,7 +13,7 @@
 
 from pulley_adapter.stores import connect_store
 from pulley_base import PulleyError
-from pulley_direct.store_calls import StoreCallRefused
+from pulley_direct.store.store_calls import StoreCallRefused
 from pulley_http import Client, close_client, close_server
 
 N_ITEMS = 1_203
--- a/tests/direct/steps/answers.py
+++ b/tests/direct/steps/answers.py
@@ -23,7 +23,7 @@
     wait_until_synced,
 )
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 PATHS = {"an order": ORDER, "a lookup": LOOKUP, "a stream": CHAT}
 RESERVED = {
--- a/tests/direct/steps/broken_streams.py
+++ b/tests/direct/steps/broken_streams.py
@@ -12,7 +12,7 @@
 )
 from scenes import CHAT, ONCE, call, start_fixture
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 N_EVENTS = 3
 KINDS = {"a resumable stream": CHAT, "a stream of one run": ONCE}
--- a/tests/direct/steps/busy_drains.py
+++ b/tests/direct/steps/busy_drains.py
@@ -14,7 +14,7 @@
 from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 
 from pulley_direct.app import drain
-from pulley_direct.rotation import (
+from pulley_direct.transport.rotation import (
     LAST_ANSWER_MARGIN_MS,
     LAST_CONNECTIONS_MS,
     SHUTDOWN_MARGIN_MS,
--- a/tests/direct/steps/busy_endpoints.py
+++ b/tests/direct/steps/busy_endpoints.py
@@ -2,7 +2,7 @@
 
 from contextlib import contextmanager
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 BUSY_REQUESTS = 5
 
--- a/tests/direct/steps/busy_outcomes.py
+++ b/tests/direct/steps/busy_outcomes.py
@@ -7,7 +7,7 @@
 from stalls import answer_in_block
 from timed_endpoints import list_raw_endpoint, start_raw_endpoint
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 N_LOOKUPS = 3
 
--- a/tests/direct/steps/busy_probes.py
+++ b/tests/direct/steps/busy_probes.py
@@ -6,7 +6,7 @@
 
 from behave import then, when
 
-from pulley_direct.crash_probes import PROBE_OPEN_MS, is_down
+from pulley_direct.crashes.crash_probes import PROBE_OPEN_MS, is_down
 
 BLOCK_S = 2 * PROBE_OPEN_MS / 1_000
 CONNECT_PAUSE_S = 0.05
--- a/tests/direct/steps/closed_endpoints.py
+++ b/tests/direct/steps/closed_endpoints.py
@@ -18,8 +18,13 @@
 )
 
 from pulley_base import Clock
-from pulley_direct.loads import LoadTable, close_endpoint, closed_left_ms, is_closed
-from pulley_direct.signals import wait_until
+from pulley_direct.state.loads import (
+    LoadTable,
+    close_endpoint,
+    closed_left_ms,
+    is_closed,
+)
+from pulley_direct.state.signals import wait_until
 
 SENDING_S = 1.0
 INTERVAL_S = 0.05
--- a/tests/direct/steps/configurations.py
+++ b/tests/direct/steps/configurations.py
@@ -18,9 +18,9 @@
 )
 
 from pulley_adapter.documents import decode_configuration
-from pulley_direct.beliefs import install_configuration
-from pulley_direct.signals import wait_until
-from pulley_direct.trust import is_ready
+from pulley_direct.requests.trust import is_ready
+from pulley_direct.state.signals import wait_until
+from pulley_direct.store.beliefs import install_configuration
 
 # A short request can still be answered in it, and the balancer has seen the stop.
 STOPPING_MS = 1_300
--- a/tests/direct/steps/connects.py
+++ b/tests/direct/steps/connects.py
@@ -5,7 +5,7 @@
 from behave import then, when
 from scenes import CHAT, call, start_fixture
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 # Longer than the silence after which an unreachable endpoint is abandoned.
 PAUSE_MS = 900
--- a/tests/direct/steps/crash_gossip.py
+++ b/tests/direct/steps/crash_gossip.py
@@ -12,18 +12,18 @@
 from scenes import start_fixture
 
 from pulley_base import Clock, to_seconds
-from pulley_direct.counters import DROPPED
-from pulley_direct.crash_log import OWN
-from pulley_direct.crash_probes import ProbeResult
-from pulley_direct.crashes import clear, report_loss
-from pulley_direct.gossip_messages import (
+from pulley_direct.crashes.crash_probes import ProbeResult
+from pulley_direct.crashes.crashes import clear, report_loss
+from pulley_direct.gossip_receipts import receive
+from pulley_direct.peers.gossip_messages import (
     MAX_DATAGRAM_BYTES,
     decode_message,
     encode_message,
 )
-from pulley_direct.gossip_receipts import receive
-from pulley_direct.jobs import Loss
-from pulley_direct.models import CrashReports, Endpoint, RouterEntry
+from pulley_direct.state.counters import DROPPED
+from pulley_direct.state.crash_log import OWN
+from pulley_direct.state.jobs import Loss
+from pulley_direct.state.models import CrashReports, Endpoint, RouterEntry
 from pulley_policy.losses import (
     Clearance,
     LostRequest,
--- a/tests/direct/steps/crash_log.py
+++ b/tests/direct/steps/crash_log.py
@@ -4,15 +4,15 @@
 
 from behave import given, then, when
 
-from pulley_direct import crash_log
-from pulley_direct.crash_log import (
+from pulley_direct.state import crash_log
+from pulley_direct.state.crash_log import (
     CrashLog,
     apply_reports,
     note_if_sound,
     record_own_loss,
     record_sound_request,
 )
-from pulley_direct.models import CrashReports
+from pulley_direct.state.models import CrashReports
 from pulley_policy.crashes import list_quarantined, record_good
 from pulley_policy.losses import LostRequest, Suspect, score_request
 
--- a/tests/direct/steps/crash_reports.py
+++ b/tests/direct/steps/crash_reports.py
@@ -7,11 +7,11 @@
 from behave import given, then, when
 
 from pulley_base import Clock, to_seconds
-from pulley_direct import crash_reports
-from pulley_direct.crash_log import CrashLog, apply_reports, record_own_loss
-from pulley_direct.fleet_views import FleetView
-from pulley_direct.models import CrashReports
-from pulley_direct.store_calls import LeaseGranted, StoreCallRefused
+from pulley_direct.state.crash_log import CrashLog, apply_reports, record_own_loss
+from pulley_direct.state.fleet_views import FleetView
+from pulley_direct.state.models import CrashReports
+from pulley_direct.store import crash_reports
+from pulley_direct.store.store_calls import LeaseGranted, StoreCallRefused
 from pulley_policy.crashes import list_quarantined
 from pulley_policy.losses import Clearance, LostRequest, Suspect
 from pulley_policy.probation import probation_left_ms
--- a/tests/direct/steps/crashing_part.py
+++ b/tests/direct/steps/crashing_part.py
@@ -26,9 +26,9 @@
 
 from pulley_base import Reason
 from pulley_direct.admin import describe_router, read_gauges
-from pulley_direct.crashes import is_crash_loss
-from pulley_direct.jobs import AttemptFailed, Job
-from pulley_direct.models import Call, Endpoint, PromptPart, RetryClass, Route
+from pulley_direct.crashes.crashes import is_crash_loss
+from pulley_direct.state.jobs import AttemptFailed, Job
+from pulley_direct.state.models import Call, Endpoint, PromptPart, RetryClass, Route
 from pulley_http import Response
 from pulley_policy import probation
 from pulley_policy.losses import Scores
--- a/tests/direct/steps/crashing_request.py
+++ b/tests/direct/steps/crashing_request.py
@@ -18,9 +18,9 @@
 from pulley_platform_standins.stores import put_document
 from scenes import CHAT, LOOKUP, ORDER, Answer, configuration, send_call
 
-from pulley_direct import crash_probes
-from pulley_direct.crash_log import apply_reports
-from pulley_direct.models import CrashReports
+from pulley_direct.crashes import crash_probes
+from pulley_direct.state.crash_log import apply_reports
+from pulley_direct.state.models import CrashReports
 from pulley_http import Response
 from pulley_policy import probation
 from pulley_policy.crashes import list_quarantined
--- a/tests/direct/steps/endless_answers.py
+++ b/tests/direct/steps/endless_answers.py
@@ -17,8 +17,8 @@
 )
 from scenes import ONCE, ORDER, Answer, call, start_fixture
 
-from pulley_direct.events import EventBuffer, take_events
-from pulley_direct.loads import get_state
+from pulley_direct.requests.events import EventBuffer, take_events
+from pulley_direct.state.loads import get_state
 
 # Just below the timeout of the routes: large bodies have to reach their limit in it.
 TIMEOUT_MS = 1_900
--- a/tests/direct/steps/endpoint_pairs.py
+++ b/tests/direct/steps/endpoint_pairs.py
@@ -16,7 +16,7 @@
     wait_until_synced,
 )
 
-from pulley_direct.loads import get_state, record_success, start_backoff
+from pulley_direct.state.loads import get_state, record_success, start_backoff
 from pulley_policy.crashes import add_report
 from pulley_policy.losses import LostRequest, Suspect
 
--- a/tests/direct/steps/gossip.py
+++ b/tests/direct/steps/gossip.py
@@ -17,10 +17,10 @@
 from pulley_adapter.stores import connect_store
 from pulley_base import to_seconds
 from pulley_direct.app import close_router, start_router
-from pulley_direct.counters import DROPPED, RECEIVED, SENT
-from pulley_direct.departures import usable_endpoints
-from pulley_direct.models import Bounds, RouterSettings
-from pulley_direct.signals import wait_until
+from pulley_direct.endpoints.departures import usable_endpoints
+from pulley_direct.state.counters import DROPPED, RECEIVED, SENT
+from pulley_direct.state.models import Bounds, RouterSettings
+from pulley_direct.state.signals import wait_until
 from pulley_http import Client, close_client
 
 POLL_MS = 10
--- a/tests/direct/steps/leaving_endpoints.py
+++ b/tests/direct/steps/leaving_endpoints.py
@@ -25,9 +25,9 @@
     wait_until_synced,
 )
 
-from pulley_direct import attempts
-from pulley_direct.departures import usable_endpoints
-from pulley_direct.signals import wait_until
+from pulley_direct.endpoints.departures import usable_endpoints
+from pulley_direct.requests import attempts
+from pulley_direct.state.signals import wait_until
 from pulley_policy.placement import rank_endpoints
 
 LEAVES = "server-leaving: 1"
--- a/tests/direct/steps/limits.py
+++ b/tests/direct/steps/limits.py
@@ -19,10 +19,10 @@
 )
 
 from pulley_base import ABSENT, UNKNOWN
-from pulley_direct.beliefs import apply_entries
-from pulley_direct.counters import RECEIVED
-from pulley_direct.limits import current_limit, hear_limit, limit_left_ms
-from pulley_direct.loads import get_state
+from pulley_direct.endpoints.limits import current_limit, hear_limit, limit_left_ms
+from pulley_direct.state.counters import RECEIVED
+from pulley_direct.state.loads import get_state
+from pulley_direct.store.beliefs import apply_entries
 
 WINDOW_S = 4.0
 TOLD_S = 0.5
--- a/tests/direct/steps/listings.py
+++ b/tests/direct/steps/listings.py
@@ -14,8 +14,8 @@
 )
 from scenes import LOOKUP, ORDER, add_endpoint, call, find_endpoints, start_fixture
 
-from pulley_direct.departures import usable_endpoints
-from pulley_direct.loads import get_state, is_backing_off
+from pulley_direct.endpoints.departures import usable_endpoints
+from pulley_direct.state.loads import get_state, is_backing_off
 
 
 @when("an endpoint starts draining")
--- a/tests/direct/steps/long_numbers.py
+++ b/tests/direct/steps/long_numbers.py
@@ -6,7 +6,7 @@
 from raw_endpoints import Script, add_raw_endpoints, encode_framed, encode_head
 from scenes import CHAT, call, start_fixture
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 # Time for the first event to be passed on.
 PIECE_PAUSE_S = 0.05
--- a/tests/direct/steps/older_words.py
+++ b/tests/direct/steps/older_words.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 
 from pulley_base import Clock
-from pulley_direct.beliefs import apply_entries, replace_entries
-from pulley_direct.departures import record_leaving, usable_endpoints
-from pulley_direct.fleet_views import FleetView, LeavingSource
-from pulley_direct.models import Endpoint, EndpointRemoved
+from pulley_direct.endpoints.departures import record_leaving, usable_endpoints
+from pulley_direct.state.fleet_views import FleetView, LeavingSource
+from pulley_direct.state.models import Endpoint, EndpointRemoved
+from pulley_direct.store.beliefs import apply_entries, replace_entries
 
 READY = Endpoint("e", "shop", "127.0.0.1:9", slots=4, started_ms=100, revision=10)
 BEHIND = 9
--- a/tests/direct/steps/once.py
+++ b/tests/direct/steps/once.py
@@ -27,9 +27,9 @@
 )
 
 from pulley_base import Reason
-from pulley_direct.bodies import read_whole_body
-from pulley_direct.jobs import AttemptFailed, Job
-from pulley_direct.resends import has_attempts_left
+from pulley_direct.requests.bodies import read_whole_body
+from pulley_direct.requests.resends import has_attempts_left
+from pulley_direct.state.jobs import AttemptFailed, Job
 from pulley_http import RequestRefused
 
 N_ENDPOINTS = 4
@@ -132,11 +132,17 @@
 
 MAY_RETRY_IF_RETRYABLE = property(lambda job: job.route.retryable)
 FAULTS = {
-    "orders are retried": [("dispatch.retry_denial_reason", retry_always)],
-    "every refusal says 503": [("dispatch.fall_back_or_refuse", refuse_as_not_run)],
-    "wrong answers passed": [("answer_heads.is_answer_to_job", lambda *others: True)],
-    "truncated answers passed": [("dispatch.read_whole_body", read_truncated_body)],
-    "unlimited attempts": [("resends.has_attempts_left", lambda job: True)],
+    "orders are retried": [("requests.dispatch.retry_denial_reason", retry_always)],
+    "every refusal says 503": [
+        ("requests.dispatch.fall_back_or_refuse", refuse_as_not_run)
+    ],
+    "wrong answers passed": [
+        ("requests.answer_heads.is_answer_to_job", lambda *others: True)
+    ],
+    "truncated answers passed": [
+        ("requests.dispatch.read_whole_body", read_truncated_body)
+    ],
+    "unlimited attempts": [("requests.resends.has_attempts_left", lambda job: True)],
 }
 
 
--- a/tests/direct/steps/other_attempts.py
+++ b/tests/direct/steps/other_attempts.py
@@ -20,7 +20,7 @@
 from scenes import wait_until_synced
 from timed_endpoints import answer_head
 
-from pulley_direct.budgets import get_budget
+from pulley_direct.endpoints.budgets import get_budget
 from pulley_policy.crashes import add_report
 
 MAX_TOOK_MS = 1_500
@@ -62,7 +62,7 @@
 def answer_between_checks(context):
     async def run():
         async with start_pair("lookup") as pair:
-            with patch("pulley_direct.waits.POLL_INTERVAL_MS", TIMEOUT_MS):
+            with patch("pulley_direct.transport.waits.POLL_INTERVAL_MS", TIMEOUT_MS):
                 await asyncio.sleep(SILENCE_S / 2)
                 release(pair.second, whole_answer(SECOND_BODY))
                 await read_state(context, pair)
--- a/tests/direct/steps/peer_versions.py
+++ b/tests/direct/steps/peer_versions.py
@@ -9,9 +9,9 @@
 from scenes import ORDER, publish, send_call
 
 from pulley_base import to_seconds
-from pulley_direct import versions
-from pulley_direct.signals import wait_until
-from pulley_direct.trust import is_ready
+from pulley_direct.peers import versions
+from pulley_direct.requests.trust import is_ready
+from pulley_direct.state.signals import wait_until
 
 NEWER = 7
 LIMIT_MS = 3_000
--- a/tests/direct/steps/restored_store.py
+++ b/tests/direct/steps/restored_store.py
@@ -23,9 +23,9 @@
 
 from pulley_adapter import stores
 from pulley_base import ProtocolError, to_seconds
-from pulley_direct import departures
-from pulley_direct.crash_log import record_own_loss
-from pulley_direct.departures import usable_endpoints
+from pulley_direct.endpoints import departures
+from pulley_direct.endpoints.departures import usable_endpoints
+from pulley_direct.state.crash_log import record_own_loss
 from pulley_http import Client, Response
 from pulley_policy.losses import LostRequest, Suspect
 
--- a/tests/direct/steps/resume_budgets.py
+++ b/tests/direct/steps/resume_budgets.py
@@ -5,7 +5,7 @@
 from behave import then, when
 from scenes import CHAT, call, find_endpoints, start_fixture
 
-from pulley_direct.budgets import get_budget
+from pulley_direct.endpoints.budgets import get_budget
 
 N_ENDPOINTS = 8
 # Longer than the silence after which a stream is resumed elsewhere, and within the
--- a/tests/direct/steps/router_counts.py
+++ b/tests/direct/steps/router_counts.py
@@ -5,11 +5,11 @@
 from behave import given, then, when
 
 from pulley_base import Clock
-from pulley_direct.beliefs import apply_entries, replace_entries
-from pulley_direct.budgets import count_routers
-from pulley_direct.fleet_views import FleetView
-from pulley_direct.limits import count_sharing_routers
-from pulley_direct.models import RouterEntry, RouterRemoved
+from pulley_direct.endpoints.budgets import count_routers
+from pulley_direct.endpoints.limits import count_sharing_routers
+from pulley_direct.state.fleet_views import FleetView
+from pulley_direct.state.models import RouterEntry, RouterRemoved
+from pulley_direct.store.beliefs import apply_entries, replace_entries
 
 OWN = RouterEntry("router-0", "127.0.0.1:9000")
 OTHERS = [RouterEntry(f"router-{n}", f"127.0.0.1:{9_000 + n}") for n in range(1, 8)]
--- a/tests/direct/steps/scenes.py
+++ b/tests/direct/steps/scenes.py
@@ -17,8 +17,8 @@
 from pulley_adapter.stores import connect_store
 from pulley_base import PulleyError
 from pulley_direct.app import RunningRouter, close_router, start_router
-from pulley_direct.models import Bounds, RouterSettings
-from pulley_direct.signals import wait_until
+from pulley_direct.state.models import Bounds, RouterSettings
+from pulley_direct.state.signals import wait_until
 from pulley_http import (
     Client,
     close_client,
--- a/tests/direct/steps/silences.py
+++ b/tests/direct/steps/silences.py
@@ -6,7 +6,7 @@
 from pulley_platform_standins.endpoints import Behavior
 from scenes import CHAT, call, start_fixture
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 # Longer than the silence after which a stream is resumed elsewhere, and within the
 # route's timeout.
--- a/tests/direct/steps/stalls.py
+++ b/tests/direct/steps/stalls.py
@@ -17,9 +17,9 @@
 )
 from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 
-from pulley_direct import channels
-from pulley_direct.loads import get_state
-from pulley_direct.waits import read_within
+from pulley_direct.state import channels
+from pulley_direct.state.loads import get_state
+from pulley_direct.transport.waits import read_within
 from pulley_http.connections import open_connection
 
 # Longer than the interval at which a silent endpoint is checked.
--- a/tests/direct/steps/stream_deadlines.py
+++ b/tests/direct/steps/stream_deadlines.py
@@ -12,7 +12,7 @@
 )
 from scenes import CHAT, ONCE, ORDER, call, start_fixture
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 TIMEOUT_MS = 1_200
 MAX_LATE_MS = 300
--- a/tests/direct/steps/streams.py
+++ b/tests/direct/steps/streams.py
@@ -6,7 +6,7 @@
 from pulley_platform_standins.endpoints import Behavior
 from scenes import CHAT, ONCE, ORDER, call, find_endpoints, start_fixture, total_runs
 
-from pulley_direct.budgets import get_budget
+from pulley_direct.endpoints.budgets import get_budget
 
 MAX_CANCEL_S = 0.5
 
--- a/tests/direct/steps/takeovers.py
+++ b/tests/direct/steps/takeovers.py
@@ -16,7 +16,7 @@
 )
 from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 # Far longer than the silence after which a second endpoint is asked.
 ROUTE_TIMEOUT_MS = 6_000
--- a/tests/direct/steps/unframed_ends.py
+++ b/tests/direct/steps/unframed_ends.py
@@ -18,8 +18,8 @@
 )
 from scenes import CHAT, LOOKUP, ONCE, ORDER, RouterFixture, call, start_fixture
 
-from pulley_direct import answer_ends
-from pulley_direct.loads import get_state
+from pulley_direct.requests import answer_ends
+from pulley_direct.state.loads import get_state
 
 N_EVENTS = 3
 PATHS = {
--- a/tests/direct/steps/unhurried.py
+++ b/tests/direct/steps/unhurried.py
@@ -7,7 +7,7 @@
 from scenes import CHAT, LOOKUP, add_endpoint, call, start_fixture, wait_until_synced
 from timed_endpoints import answer_head, list_raw_endpoint, start_raw_endpoint
 
-from pulley_direct.loads import get_state
+from pulley_direct.state.loads import get_state
 
 # Longer than any silence that ends an attempt before its first byte, and well within
 # the route's timeout.
--- a/tests/logs/steps/logs.py
+++ b/tests/logs/steps/logs.py
@@ -15,15 +15,15 @@
 from pulley_base import Clock
 from pulley_base.log_lines import read_lines
 from pulley_direct.admin import answer_operator
-from pulley_direct.beliefs import apply_entries, record_store_success
-from pulley_direct.channels import ChannelPool
-from pulley_direct.counters import observe_ms
-from pulley_direct.fleet_views import FleetView
-from pulley_direct.limits import record_limit
-from pulley_direct.loads import LoadTable, close_endpoint, get_state
+from pulley_direct.endpoints.limits import record_limit
 from pulley_direct.logs import MAX_BURST_LINES, BoundedStream, make_line_budget
-from pulley_direct.models import Configuration, Endpoint, RouterSettings
-from pulley_direct.routers import Router
+from pulley_direct.state.channels import ChannelPool
+from pulley_direct.state.counters import observe_ms
+from pulley_direct.state.fleet_views import FleetView
+from pulley_direct.state.loads import LoadTable, close_endpoint, get_state
+from pulley_direct.state.models import Configuration, Endpoint, RouterSettings
+from pulley_direct.state.routers import Router
+from pulley_direct.store.beliefs import apply_entries, record_store_success
 from pulley_http import Limits, Request
 from pulley_router.explain import explain, format_line, select_trace
 
--- a/tests/spreads/steps/health.py
+++ b/tests/spreads/steps/health.py
@@ -8,10 +8,15 @@
 from behave import given, then, when
 
 from pulley_base import Clock
-from pulley_direct.loads import LoadTable, eject_outlier, is_eligible, record_outcome
-from pulley_direct.models import RetryClass, Route
-from pulley_direct.outcomes import is_late
-from pulley_direct.waits import should_ask_other
+from pulley_direct.endpoints.outcomes import is_late
+from pulley_direct.state.loads import (
+    LoadTable,
+    eject_outlier,
+    is_eligible,
+    record_outcome,
+)
+from pulley_direct.state.models import RetryClass, Route
+from pulley_direct.transport.waits import should_ask_other
 from pulley_policy.health import decay
 
 SEED = 5
--- a/tests/spreads/steps/hot_endpoints.py
+++ b/tests/spreads/steps/hot_endpoints.py
@@ -9,13 +9,14 @@
 from behave import given, then, when
 
 from pulley_base import Clock
-from pulley_direct.counters import SENT
-from pulley_direct.fleet_views import FleetView
+from pulley_direct.endpoints.placing import choose_target
 from pulley_direct.gossip_receipts import receive
-from pulley_direct.head_reports import record_head
-from pulley_direct.jobs import Job
-from pulley_direct.loads import LoadTable, get_state
-from pulley_direct.models import (
+from pulley_direct.requests.head_reports import record_head
+from pulley_direct.state.counters import SENT
+from pulley_direct.state.fleet_views import FleetView
+from pulley_direct.state.jobs import Job
+from pulley_direct.state.loads import LoadTable, get_state
+from pulley_direct.state.models import (
     AnswerMetadata,
     Call,
     Endpoint,
@@ -25,8 +26,7 @@
     Route,
     RouterSettings,
 )
-from pulley_direct.placing import choose_target
-from pulley_direct.routers import Router
+from pulley_direct.state.routers import Router
 
 TICK_MS = 10
 SERVICE = "model"
--- a/tests/spreads/steps/spreads.py
+++ b/tests/spreads/steps/spreads.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from pulley_direct.followers import watch_wait_ms
+from pulley_direct.store.followers import watch_wait_ms
 from pulley_policy.homes import Place, order_places, order_sources
 from pulley_policy.spreads import Option, choose_idle, choose_warm, measure_spread
 
--- a/tools/choices.py
+++ b/tools/choices.py
@@ -11,11 +11,11 @@
 from types import SimpleNamespace
 
 from pulley_base import Clock
-from pulley_direct.endpoint_words import list_endpoint
-from pulley_direct.fleet_views import FleetView
-from pulley_direct.loads import LoadTable, eject_outlier, record_outcome
-from pulley_direct.models import Bounds, Endpoint, PromptPart
-from pulley_direct.placing import choose_target
+from pulley_direct.endpoints.placing import choose_target
+from pulley_direct.state.fleet_views import FleetView
+from pulley_direct.state.loads import LoadTable, eject_outlier, record_outcome
+from pulley_direct.state.models import Bounds, Endpoint, PromptPart
+from pulley_direct.store.endpoint_words import list_endpoint
 
 SIZES = (1_200, 12_000)
 N_SERVICES = 11
