Let some routers of a data centre watch the store, and the others go by their word

Change: policy/watchers ranks the routers of a data centre; the first watch, the others ask them over HTTP at the peer port. A watcher asks the store for its revision 0.2 of the bound after the last confirmation. The age of a word counts from the sending of the request on the follower's own clock. Answers carry a digest under the watcher's key, from its entry in the store. A watcher that fails is held off; after two a router watches itself; one that the store turns away asks others. While the store is away from all that were asked, refused callers are told to come back after a quarter to a third of their timeout. The scenario outline of the watches' length went with watch_wait_ms; policy/watchers checks who watches, how many follow and the times instead. At one router the store gets 2.5 calls a second where it got one: that buys the age.

--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -18,6 +18,7 @@
 
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
+STORE_FOLLOWED = "the store"
 TEXT_TYPE = [(b"content-type", b"text/plain; version=0.0.4")]
 JSON_TYPE = [(b"content-type", b"application/json")]
 
@@ -51,6 +52,8 @@
         # An age of None, before the first answer of the store, is reported as 0.
         "plantainpulley_direct_configuration_age_ms": configuration_age_ms(fleet_view)
         or 0,
+        "plantainpulley_direct_watches_store": int(fleet_view.watcher is None),
+        "plantainpulley_direct_followers": router.n_relayed,
         "plantainpulley_direct_open_channels": router.pool.n_open.total(),
         "plantainpulley_direct_opened_channels": router.pool.n_opened,
         "plantainpulley_direct_crash_reports": len(
@@ -94,6 +97,8 @@
             "version": getattr(fleet_view.configuration, "version", None),
             "age_ms": configuration_age_ms(fleet_view),
             "trusted": has_fresh_tokens(router),
+            "followed": fleet_view.watcher or STORE_FOLLOWED,
+            "followers": router.n_relayed,
             "store_failing_ms": elapsed_ms(now_ms, fleet_view.failing_since_ms),
         },
         "routers": sorted(fleet_view.routers),
--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -15,12 +15,21 @@
     split_address,
     to_seconds,
 )
-from pulley_http import Request, Response, Server, close_server, start_server
+from pulley_http import (
+    Client,
+    Request,
+    Response,
+    Server,
+    close_server,
+    start_server,
+)
+from pulley_policy.watchers import FollowTimes, Member, derive_times
 
 from .admin import answer_operator
 from .endpoints.departures import forget_gone
 from .gossip_receipts import receive
 from .peers.gossip import close_gossip, open_gossip
+from .peers.relays import ask_watcher, open_relay
 from .peers.versions import ask_versions
 from .requests.front import handle_request
 from .requests.trust import is_ready
@@ -33,6 +42,7 @@
 from .store.announcements import announce
 from .store.crash_reports import publish_reports
 from .store.followers import follow_store
+from .store.positions import Watchers
 from .store.store_calls import StoreClient
 from .transport.rotation import LAST_CONNECTIONS_MS, SHUTDOWN_MARGIN_MS
 
@@ -52,6 +62,7 @@
     caller_server: Server
     ready_server: Server
     admin_server: Server | None
+    relay_server: Server | None
     tasks: list[asyncio.Task]
 
 
@@ -111,17 +122,34 @@
     )
     admin_server = await listen_admin(router)
     await open_gossip(router, partial(receive, router))
-    log_event(logger, "started", instance=settings.instance, at_ms=clock.now_ms())
     bounds = settings.bounds
     in_force_ms = min(bounds.configuration_ms, bounds.drain_ms)
+    times = derive_times(in_force_ms)
+    relay_server = await open_relay(router, times)
+    log_event(logger, "started", instance=settings.instance, at_ms=clock.now_ms())
+    watchers = find_watchers(settings, times)
+    if relay_server is None:
+        # Nobody could follow this router; it watches the store for itself.
+        router.peer_key, watchers = "", None
     tasks = [
-        asyncio.create_task(follow_store(store, fleet_view, clock, in_force_ms)),
+        asyncio.create_task(
+            follow_store(store, fleet_view, clock, in_force_ms, watchers)
+        ),
         asyncio.create_task(announce(store, router)),
         asyncio.create_task(publish_reports(store, router)),
         asyncio.create_task(ask_versions(router)),
         asyncio.create_task(run_housekeeping(router, caller_server)),
     ]
-    return RunningRouter(router, caller_server, ready_server, admin_server, tasks)
+    return RunningRouter(
+        router, caller_server, ready_server, admin_server, relay_server, tasks
+    )
+
+
+def find_watchers(settings: RouterSettings, times: FollowTimes) -> Watchers:
+    """Return how this router asks others that watch the store."""
+    client = Client(connect_timeout_ms=times.answer_wait_ms)
+    own = Member(settings.instance, settings.data_centre)
+    return Watchers(own, partial(ask_watcher, client, times))
 
 
 def close_router(running: RunningRouter) -> None:
@@ -129,9 +157,13 @@
     for task in running.tasks:
         task.cancel()
     close_gossip(running.router)
-    for server in filter(
-        None, (running.caller_server, running.ready_server, running.admin_server)
-    ):
+    servers = (
+        running.caller_server,
+        running.ready_server,
+        running.admin_server,
+        running.relay_server,
+    )
+    for server in filter(None, servers):
         close_server(server)
     close_unusable_idle(running.router.pool, set())
 
@@ -178,6 +210,9 @@
     router.stops_at_ms = clock.deadline_ms(router.settings.bounds.grace_ms)
     end_ms = router.stops_at_ms - SHUTDOWN_MARGIN_MS
     caller_server.draining = True
+    if running.relay_server is not None:
+        # Its followers turn to another watcher before this one is gone.
+        close_server(running.relay_server)
     log_event(logger, "draining", n_in_flight=router.n_in_flight)
     await asyncio.sleep(to_seconds(min(LAST_CONNECTIONS_MS, end_ms - clock.now_ms())))
     ends = False
--- a/packages/direct/src/pulley_direct/gossip_receipts.py
+++ b/packages/direct/src/pulley_direct/gossip_receipts.py
@@ -59,7 +59,8 @@
 
 def check_source(router: Router, source: str) -> None:
     """Raise ProtocolError for a datagram that does not come from a listed router."""
-    if source not in router.fleet_view.routers.values():
+    routers = router.fleet_view.routers.values()
+    if all(entry.address != source for entry in routers):
         raise ProtocolError("not from a router", step="receive", peer=source)
 
 
--- a/packages/direct/src/pulley_direct/peers/gossip.py
+++ b/packages/direct/src/pulley_direct/peers/gossip.py
@@ -177,11 +177,10 @@
 
 def choose_receivers(router: Router) -> list[tuple[str, int]]:
     """Return the hosts and ports of some other routers, at random."""
-    entries = router.fleet_view.routers.items()
     others = [
-        split_address(address)
-        for name, address in entries
-        if name != router.settings.instance
+        split_address(entry.address)
+        for entry in router.fleet_view.routers.values()
+        if entry.name != router.settings.instance
     ]
     reachable = [(host, port) for host, port in others if port]
     return sample(reachable, min(MAX_RECEIVERS, len(reachable)))
--- a/packages/direct/src/pulley_direct/requests/front.py
+++ b/packages/direct/src/pulley_direct/requests/front.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import logging
-from random import random
+from random import random, uniform
 
 from pulley_base import Reason, log_event
 from pulley_http import Request, RequestRefused, Response, read_all
 
 from ..peers.versions import is_outdated
 from ..state.counters import CANCELLED, observe_ms
-from ..state.fleet_views import FleetView, configuration_age_ms
+from ..state.fleet_views import FleetView, configuration_age_ms, is_store_away
 from ..state.jobs import Job
 from ..state.models import Call, Configuration
 from ..state.routers import Router
@@ -33,6 +33,8 @@
 MAX_WAIT_SHARE = 0.3
 # Another router can take the request at once.
 RETRY_ELSEWHERE_MS = 10
+# Parts of a caller's timeout after which it can still come back and be served.
+RETURN_SHARES = (0.25, 0.33)
 
 
 async def handle_request(router: Router, request: Request) -> Response:
@@ -125,15 +127,32 @@
             fleet_view.confirmed, lambda: has_fresh_tokens(router), wait_ms
         )
     if not has_fresh_tokens(router):
-        detail = f"tokens were last confirmed {configuration_age_ms(fleet_view)} ms ago"
-        raise temporary_refusal(Reason.CONFIGURATION_STALE, detail)
+        raise stale_refusal(fleet_view, timeout_ms)
     return fleet_view.configuration
 
 
-def temporary_refusal(reason: Reason, detail: str) -> RequestRefused:
-    """Return the refusal of a request that was not run and may be retried elsewhere."""
+def stale_refusal(fleet_view: FleetView, timeout_ms: int) -> RequestRefused:
+    """Return the refusal of a request whose token can't be checked.
+
+    While the store is away from all routers, another one can't check it either: the
+    caller comes back as late as it can still be served, each at another time.
+    """
+    detail = f"tokens were last confirmed {configuration_age_ms(fleet_view)} ms ago"
+    if not is_store_away(fleet_view):
+        return temporary_refusal(Reason.CONFIGURATION_STALE, detail)
+    return temporary_refusal(
+        Reason.CONFIGURATION_STALE,
+        f"{detail}, by any router",
+        retry_after_ms=int(timeout_ms * uniform(*RETURN_SHARES)),
+    )
+
+
+def temporary_refusal(
+    reason: Reason, detail: str, retry_after_ms: int = RETRY_ELSEWHERE_MS
+) -> RequestRefused:
+    """Return the refusal of a request that was not run and may be retried."""
     return RequestRefused(
-        503, reason, detail, retry_after_ms=RETRY_ELSEWHERE_MS, step="admit"
+        503, reason, detail, retry_after_ms=retry_after_ms, step="admit"
     )
 
 
--- a/packages/direct/src/pulley_direct/state/fleet_views.py
+++ b/packages/direct/src/pulley_direct/state/fleet_views.py
@@ -6,11 +6,14 @@
 from pulley_base import Clock, wall_time_ms
 
 from .crash_log import CrashLog
-from .models import Configuration, Endpoint
+from .mirrors import Mirror
+from .models import Configuration, Endpoint, RouterEntry
 from .signals import Signal
 
 # A live router whose entry has lapsed writes it again within a renewal's interval.
 ROUTER_MEMORY_MS = 30_000
+# Watchers are asked again within a part of this time.
+STALE_WORD_MEMORY_MS = 4_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +67,7 @@
     ``peer_version`` the newest that another router told, at ``peer_version_ms``;
     ``n_version_answers`` counts what they told, ``versions_heard`` is notified of each,
     and ``awaits_versions`` is set while a router that starts waits for that.
-    ``routers`` holds the addresses of the listed routers by name, ``former_routers``
+    ``routers`` holds the listed routers by name, ``former_routers``
     when the entries of others went. ``lapsed`` holds the endpoints whose entries were
     missing after an outage of the store, with the clock reading at which they count as
     removed. ``departed`` holds those that left recently, ``leaving`` those that said
@@ -73,8 +76,11 @@
     while the store does not answer, ``outage_end_ms`` after its last outage.
     ``n_restores`` counts how often the store was seen to be restored from a copy, the
     last time at ``restored_ms``; ``restored`` is notified then. ``has_doubts`` is set
-    while an entry of the copy is not believed. ``wall_clock`` reads the time of day and
-    is used only to tell how long ago an endpoint started.
+    while an entry of the copy is not believed. ``mirror`` is the copy of the store that
+    a router which watches it keeps for its followers, None while it does not;
+    ``watcher`` is the router that it follows instead, ``stale_word_ms`` when one told
+    last that its own word is too old. ``wall_clock`` reads the
+    time of day and is used only to tell how long ago an endpoint started.
     """
 
     clock: Clock
@@ -88,7 +94,7 @@
     awaits_versions: bool = False
     versions_heard: Signal = field(default_factory=Signal)
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
-    routers: dict[str, str] = field(default_factory=dict)
+    routers: dict[str, RouterEntry] = field(default_factory=dict)
     former_routers: dict[str, int] = field(default_factory=dict)
     lapsed: dict[str, int] = field(default_factory=dict)
     departed: dict[str, Departure] = field(default_factory=dict)
@@ -101,6 +107,9 @@
     restored_ms: int | None = None
     restored: Signal = field(default_factory=Signal)
     has_doubts: bool = False
+    mirror: Mirror | None = None
+    watcher: str | None = None
+    stale_word_ms: int | None = None
     changed: Signal = field(default_factory=Signal)
     confirmed: Signal = field(default_factory=Signal)
 
@@ -115,6 +124,13 @@
     return fleet_view.clock.now_ms() - fleet_view.confirmed_ms
 
 
+def is_store_away(fleet_view: FleetView) -> bool:
+    """Check whether the store answers neither this router nor those that it asked."""
+    if fleet_view.stale_word_ms is None:
+        return False
+    return fleet_view.clock.now_ms() < fleet_view.stale_word_ms + STALE_WORD_MEMORY_MS
+
+
 def sharing_routers(fleet_view: FleetView) -> list[str]:
     """Return the names of the routers that may share limits and budgets.
 
--- a/packages/direct/src/pulley_direct/state/models.py
+++ b/packages/direct/src/pulley_direct/state/models.py
@@ -118,10 +118,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterEntry:
-    """Another router of the fleet, and the address of its peer port, 0 for none."""
+    """Another router of the fleet, and the address of its peer port, 0 for none.
+
+    ``key`` is the secret under which it answers other routers, empty if it answers
+    none; ``data_centre`` is empty if its entry does not tell.
+    """
 
     name: str
     address: str
+    data_centre: str = ""
+    key: str = field(default="", repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/direct/src/pulley_direct/state/routers.py
+++ b/packages/direct/src/pulley_direct/state/routers.py
@@ -1,6 +1,7 @@
 """The state of one router, shared by the modules that handle its requests."""
 
 import asyncio
+import os
 from dataclasses import dataclass, field
 
 from pulley_base import Clock
@@ -14,6 +15,13 @@
 from .models import HeaderCodec, RouterSettings
 from .routes import RouteIndex
 
+PEER_KEY_BYTES = 16
+
+
+def draw_peer_key() -> str:
+    """Return a new secret under which a router answers others."""
+    return os.urandom(PEER_KEY_BYTES).hex()
+
 
 @dataclass(slots=True)
 class Router:
@@ -22,7 +30,9 @@
     ``stops_at_ms`` is the clock reading at which the process is killed at the
     latest, None before SIGTERM. ``gossip`` is the socket for datagrams between
     routers, None without one; ``crash_bucket`` bounds those with crash reports, None
-    before the first. ``probes`` holds the running crash probes by address,
+    before the first; ``peer_key`` is the secret under which it answers other routers,
+    ``n_relayed`` how many of their requests it holds.
+    ``probes`` holds the running crash probes by address,
     ``reporting`` the tasks that report the losses of requests that have ended.
     """
 
@@ -41,3 +51,5 @@
     stops_at_ms: int | None = None
     gossip: asyncio.DatagramTransport | None = None
     crash_bucket: TokenBucket | None = None
+    n_relayed: int = 0
+    peer_key: str = field(default_factory=draw_peer_key, repr=False)
--- a/packages/direct/src/pulley_direct/store/announcements.py
+++ b/packages/direct/src/pulley_direct/store/announcements.py
@@ -7,6 +7,7 @@
 from pulley_base import PulleyError, log_event, to_seconds
 
 from ..state.fleet_views import FleetView, sharing_routers
+from ..state.models import RouterEntry
 from ..state.routers import Router
 from ..state.signals import wait_until
 from .store_calls import StoreClient
@@ -19,6 +20,8 @@
 # Two renewals may fail before the lease expires.
 RENEW_INTERVAL_MS = 9_000
 RETRY_DELAY_MS = 1_000
+# The first read of the store takes less, if it answers at all.
+READ_WAIT_MS = 2_000
 # After a restore all routers write their entries again, each with two calls.
 REWRITES_PER_S = 100
 MS_PER_S = 1_000
@@ -31,6 +34,10 @@
     """
     fleet_view = router.fleet_view
     lease, n_restores = None, fleet_view.n_restores
+    await wait_until(
+        fleet_view.confirmed, lambda: fleet_view.confirmed_ms is not None, READ_WAIT_MS
+    )
+    adopt_key(router)
     while True:
         if fleet_view.n_restores > n_restores:
             lease, n_restores = None, fleet_view.n_restores
@@ -43,6 +50,16 @@
             await asyncio.sleep(to_seconds(RETRY_DELAY_MS))
 
 
+def adopt_key(router: Router) -> None:
+    """Keep the key of this router's entry from before its start, if there is one.
+
+    Others know that key already.
+    """
+    known = router.fleet_view.routers.get(router.settings.instance)
+    if known is not None and known.key and router.peer_key:
+        router.peer_key = known.key
+
+
 async def wait_restored(
     fleet_view: FleetView, n_restores: int, timeout_ms: int
 ) -> None:
@@ -68,5 +85,8 @@
     ttl_ms = max(LEASE_TTL_MS, settings.store_min_ttl_ms)
     granted = await store.grant_lease(ttl_ms)
     address = f"{settings.ip}:{settings.peer_ports[0]}"
-    await store.announce(settings.instance, address, granted.lease)
+    entry = RouterEntry(
+        settings.instance, address, settings.data_centre, router.peer_key
+    )
+    await store.announce(entry, granted.lease)
     return granted.lease
--- a/packages/direct/src/pulley_direct/store/beliefs.py
+++ b/packages/direct/src/pulley_direct/store/beliefs.py
@@ -37,18 +37,24 @@
 
 
 def record_store_success(fleet_view: FleetView, confirmed_ms: int) -> None:
-    """Record that the store answered; its state is known as of ``confirmed_ms``.
-
-    A store that holds an older configuration than the one in force, as it was restored
-    from a copy, may have lost a newer one as well, and confirms nothing.
-    """
+    """Record that the store answered; its state is known as of ``confirmed_ms``."""
     now_ms = fleet_view.clock.now_ms()
+    fleet_view.stale_word_ms = None
     if fleet_view.failing_since_ms is not None:
         lasted_ms = now_ms - fleet_view.failing_since_ms
         fleet_view.failing_since_ms = None
         if lasted_ms >= MIN_OUTAGE_MS:
             fleet_view.outage_end_ms = now_ms
         log_event(logger, "store_regained", lasted_ms=lasted_ms)
+    record_confirmation(fleet_view, confirmed_ms)
+
+
+def record_confirmation(fleet_view: FleetView, confirmed_ms: int) -> None:
+    """Record that the store held nothing newer at ``confirmed_ms``, in clock ms.
+
+    A store that holds an older configuration than the one in force, as it was restored
+    from a copy, may have lost a newer one as well, and confirms nothing.
+    """
     if not is_store_behind(fleet_view):
         known_ms = fleet_view.confirmed_ms
         fleet_view.confirmed_ms = max(confirmed_ms, known_ms or confirmed_ms)
@@ -118,7 +124,7 @@
 
 def list_router(fleet_view: FleetView, entry: RouterEntry) -> None:
     """Add or update a router's entry."""
-    fleet_view.routers[entry.name] = entry.address
+    fleet_view.routers[entry.name] = entry
     fleet_view.former_routers.pop(entry.name, None)
 
 
--- a/packages/direct/src/pulley_direct/store/followers.py
+++ b/packages/direct/src/pulley_direct/store/followers.py
@@ -1,15 +1,16 @@
-"""Following the store: one full read, then watches that apply each change."""
+"""Following the store: watches of this router's own, or another router's word."""
 
 import asyncio
 import logging
-from dataclasses import dataclass
 from random import random
 
 from pulley_base import Clock, PulleyError, to_seconds, warn_event
 from pulley_policy.retries import draw_half_jitter_ms
+from pulley_policy.watchers import WATCH_WAIT_MS, derive_times
 
 from ..endpoints.departures import are_doubts_over
 from ..state.fleet_views import FleetView
+from ..state.mirrors import build_mirror, record_items
 from .beliefs import (
     apply_entries,
     record_restore,
@@ -17,17 +18,29 @@
     record_store_success,
     replace_entries,
 )
+from .positions import (
+    Follower,
+    Watchers,
+    WatchProgress,
+    end_outage,
+    forget_if_restored,
+    note_era,
+)
 from .store_calls import HISTORY_LOST, Changes, StoreClient
+from .watchers import (
+    WatcherFailed,
+    choose_next,
+    follow_watcher,
+    hold_off,
+    hold_off_store,
+    is_asked,
+    is_store_held_off,
+    next_turn_in_ms,
+    stop_following,
+)
 
 logger = logging.getLogger(__name__)
 
-# A watch that returns no change confirms that nothing changed. Its wait is a share of
-# the time within which a change must be in force, longer the more routers watch, to
-# limit the load on the store.
-WATCH_WAIT_SHARES = (0.5, 0.7)
-WATCHES_PER_S = 10
-# Watches may miss changes for this long before the store drops its history.
-MAX_WATCH_MISS_MS = 1_000
 # The router notices the return of the store within half a second, at two calls a
 # second.
 RETRY_INITIAL_MS = 50
@@ -38,133 +51,188 @@
 # When configurations follow each other faster than this, the router reads the whole
 # store again and so takes only the last one.
 RAPID_CHANGE_MS = 1_000
-MS_PER_S = 1_000
-
-
-@dataclass(slots=True)
-class WatchProgress:
-    """Position in the store's history.
-
-    ``revision`` is None if everything has to be read again. ``era`` is that of the
-    last answer that told it, ``changed_ms`` the clock reading at which the last new
-    configuration arrived.
-    """
-
-    revision: int | None = None
-    era: int | None = None
-    changed_ms: int | None = None
-    n_failures: int = 0
 
 
 async def follow_store(
-    store: StoreClient, fleet_view: FleetView, clock: Clock, configuration_ms: int
+    store: StoreClient,
+    fleet_view: FleetView,
+    clock: Clock,
+    in_force_ms: int,
+    watchers: Watchers | None = None,
 ) -> None:
     """Read the store and follow its changes for as long as the task runs.
 
-    ``configuration_ms`` is the time within which a change must be in force.
+    ``in_force_ms`` is the time within which a change must be in force. Without
+    ``watchers`` no other router is asked.
     """
-    progress = WatchProgress()
-    batch_delay_ms = int(configuration_ms * BATCH_DELAY_SHARE)
+    follower = Follower(
+        store,
+        fleet_view,
+        clock,
+        derive_times(in_force_ms),
+        int(in_force_ms * BATCH_DELAY_SHARE),
+        watchers,
+    )
     while True:
-        started_ms = clock.now_ms()
-        wait_ms = watch_wait_ms(configuration_ms, len(fleet_view.routers))
-        try:
-            delay_ms = await follow_once(
-                store, fleet_view, clock, progress, wait_ms, batch_delay_ms
-            )
-            progress.n_failures = 0
-        except PulleyError as error:
-            delay_ms = record_call_failure(fleet_view, progress, started_ms, str(error))
-        except Exception as error:
-            # A bug here must not stop the updates: the router's view would only age.
-            warn_event(logger, "follower_failed", error=repr(error))
-            logger.debug("follower_failed", exc_info=error)
-            delay_ms = record_call_failure(
-                fleet_view, progress, started_ms, repr(error)
-            )
+        delay_ms = await take_turn(follower)
         if delay_ms:
             await asyncio.sleep(to_seconds(delay_ms))
 
 
-def watch_wait_ms(configuration_ms: int, n_routers: int) -> int:
-    """Return how long a watch waits, within its two shares of ``configuration_ms``.
-
-    >>> [watch_wait_ms(2_000, n) for n in (1, 12, 600)]
-    [1000, 1200, 1400]
-    """
-    min_wait_ms, max_wait_ms = (
-        int(configuration_ms * share) for share in WATCH_WAIT_SHARES
-    )
-    wait_ms = n_routers * MS_PER_S // WATCHES_PER_S
-    return max(min_wait_ms, min(max_wait_ms, wait_ms))
-
-
-async def follow_once(
-    store: StoreClient,
-    fleet_view: FleetView,
-    clock: Clock,
-    progress: WatchProgress,
-    wait_ms: int,
-    batch_delay_ms: int,
-) -> int:
-    """Make one read or one watch, and return the delay before the next one in ms."""
-    started_ms = clock.now_ms()
+async def take_turn(follower: Follower) -> float:
+    """Ask a watcher or the store once; return the delay before the next turn in ms."""
+    started_ms = follower.clock.now_ms()
+    try:
+        return await follow_once(follower)
+    except WatcherFailed as failure:
+        hold_off(follower, failure)
+        return 0
+    except PulleyError as error:
+        return record_call_failure(follower, started_ms, str(error))
+    except Exception as error:
+        # A bug here must not stop the updates: the router's view would only age.
+        warn_event(logger, "follower_failed", error=repr(error))
+        logger.debug("follower_failed", exc_info=error)
+        return record_call_failure(follower, started_ms, repr(error))
+
+
+async def follow_once(follower: Follower) -> int:
+    """Follow a watcher or the store for one answer; return a delay in ms."""
+    watcher = choose_next(follower)
+    if watcher is not None:
+        await follow_watcher(follower, watcher)
+        return 0
+    stop_following(follower.fleet_view)
+    if is_store_held_off(follower):
+        return next_turn_in_ms(follower)
+    return await follow_store_once(follower)
+
+
+async def follow_store_once(follower: Follower) -> int:
+    """Make one read or one watch; return the delay before the next one in ms."""
+    progress, fleet_view = follower.progress, follower.fleet_view
     version = current_version(fleet_view)
-    if progress.revision is None or are_doubts_over(fleet_view):
-        confirmed_ms = started_ms
-        changes = await store.read_all()
-        if note_era(progress, changes):
-            record_restore(fleet_view)
-        end_outage(fleet_view)
-        replace_entries(fleet_view, changes.entries, changes.revision)
+    if needs_full_read(follower):
+        changes = await read_everything(follower)
     else:
-        changes = await store.watch(progress.revision, wait_ms)
-        if changes is HISTORY_LOST:
-            warn_event(logger, "history_lost", revision=progress.revision)
-            progress.revision = None
-            return 0
-        if note_era(progress, changes):
-            # What the new history holds up to this position is not known.
-            record_restore(fleet_view)
-            progress.revision = None
-            return 0
-        confirmed_ms = watch_confirmed_ms(changes, started_ms, wait_ms)
-        end_outage(fleet_view)
-        apply_entries(fleet_view, changes.entries)
-    record_store_success(fleet_view, confirmed_ms)
+        changes = await watch(follower)
+    if changes is None:
+        return 0
+    progress.n_failures = 0
     progress.revision = changes.revision
+    fleet_view.confirmed.notify()
     if current_version(fleet_view) != version:
-        record_version_change(progress, clock.now_ms())
-    return batch_delay_ms if changes.entries else 0
-
+        record_version_change(progress, follower.clock.now_ms())
+    return follower.batch_delay_ms if changes.entries else 0
 
-def note_era(progress: WatchProgress, changes: Changes) -> bool:
-    """Record the store's era, and return whether it was restored since the last call.
 
-    An answer that does not tell the era says nothing of that.
-    """
-    if changes.era is None:
-        return False
-    known, progress.era = progress.era, changes.era
-    if known is None or known == changes.era:
+def needs_full_read(follower: Follower) -> bool:
+    """Check whether to read everything: after a loss, or to answer followers."""
+    if follower.progress.revision is None or are_doubts_over(follower.fleet_view):
+        return True
+    if follower.watchers is None or follower.fleet_view.mirror is not None:
         return False
-    warn_event(
-        logger,
-        "store_restored",
-        era=changes.era,
-        known_era=known,
-        revision=changes.revision,
-    )
-    return True
+    return is_asked(follower)
+
+
+async def read_everything(follower: Follower) -> Changes:
+    """Read all that the store holds, and keep a copy for other routers."""
+    fleet_view = follower.fleet_view
+    confirmed_ms = follower.clock.now_ms()
+    changes = await follower.store.read_all()
+    if note_era(follower.progress, changes.era, changes.revision):
+        record_restore(fleet_view)
+    end_outage(fleet_view)
+    replace_entries(fleet_view, changes.entries, changes.revision)
+    if follower.watchers is not None:
+        fleet_view.mirror = build_mirror(changes.items, changes.revision, changes.era)
+    record_store_success(fleet_view, confirmed_ms)
+    return changes
 
 
-def watch_confirmed_ms(changes: Changes, started_ms: int, wait_ms: int) -> int:
-    """Return the time up to which a watch's answer is known to include all changes.
+async def watch(follower: Follower) -> Changes | None:
+    """Watch the store until it tells of changes; None if they have to be read.
 
-    An answer without changes was made at the end of its wait, however late it
-    arrived.
+    Checks beside it confirm that there are none. An answer without changes confirms
+    nothing: a watch may have missed some.
+    """
+    progress, fleet_view = follower.progress, follower.fleet_view
+    started_ms = follower.clock.now_ms()
+    changes = await watch_and_check(follower)
+    if changes is HISTORY_LOST:
+        warn_event(logger, "history_lost", revision=progress.revision)
+        progress.revision = None
+        return None
+    if changes is None or forget_if_restored(follower, changes):
+        return None
+    end_outage(fleet_view)
+    apply_entries(fleet_view, changes.entries)
+    if fleet_view.mirror is not None:
+        record_items(fleet_view.mirror, changes.items, changes.revision)
+    record_store_success(fleet_view, started_ms)
+    return changes
+
+
+async def watch_and_check(follower: Follower) -> Changes | None:
+    """Return a watch's answer, None if it is given up.
+
+    That is when a check found changes that it does not bring, and when another router
+    can be followed. Raises the error of the watch, or that of a check.
     """
-    return started_ms if changes.entries else started_ms + wait_ms - MAX_WATCH_MISS_MS
+    revision = follower.progress.revision
+    watching = asyncio.create_task(follower.store.watch(revision, WATCH_WAIT_MS))
+    try:
+        while not await is_done_within(watching, next_check_in_ms(follower)):
+            if await is_unchanged(follower):
+                if is_watch_needless(follower):
+                    return None
+                continue
+            if follower.progress.revision is None:
+                # The store was restored; the watch may still tell of the time before.
+                return None
+            lag_ms = follower.times.watch_lag_ms
+            if not await is_done_within(watching, lag_ms):
+                warn_event(logger, "watch_behind", revision=revision)
+                follower.progress.revision = None
+                return None
+        return await watching
+    finally:
+        watching.cancel()
+
+
+def is_watch_needless(follower: Follower) -> bool:
+    """Check whether to read everything, or follow another router, instead."""
+    if are_doubts_over(follower.fleet_view):
+        return True
+    return choose_next(follower) is not None
+
+
+async def is_done_within(task: asyncio.Task, timeout_ms: int) -> bool:
+    """Wait until a task is done; return False if it is not in time."""
+    done, _ = await asyncio.wait({task}, timeout=to_seconds(timeout_ms))
+    return bool(done)
+
+
+def next_check_in_ms(follower: Follower) -> int:
+    """Return when to ask the store whether anything has changed, in ms from now."""
+    confirmed_ms = follower.fleet_view.confirmed_ms
+    now_ms = follower.clock.now_ms()
+    if confirmed_ms is None:
+        return 0
+    return max(0, confirmed_ms + follower.times.check_ms - now_ms)
+
+
+async def is_unchanged(follower: Follower) -> bool:
+    """Ask the store whether its last change is the last one that is known here."""
+    started_ms = follower.clock.now_ms()
+    found = await follower.store.read_revision()
+    if forget_if_restored(follower, found):
+        return False
+    if found.revision != follower.progress.revision:
+        return False
+    end_outage(follower.fleet_view)
+    record_store_success(follower.fleet_view, started_ms)
+    return True
 
 
 def record_version_change(progress: WatchProgress, now_ms: int) -> None:
@@ -175,29 +243,24 @@
         progress.revision = None
 
 
-def record_call_failure(
-    fleet_view: FleetView, progress: WatchProgress, started_ms: int, reason: str
-) -> float:
+def record_call_failure(follower: Follower, started_ms: int, reason: str) -> float:
     """Record a failed call, and return the delay before the next one in ms.
 
     A watch may hang and miss changes, so a full read follows.
     """
-    record_store_failure(fleet_view, started_ms, reason)
+    progress = follower.progress
+    record_store_failure(follower.fleet_view, started_ms, reason)
     progress.revision = None
     n_previous = progress.n_failures
     progress.n_failures += 1
-    return draw_half_jitter_ms(RETRY_INITIAL_MS, RETRY_MAX_MS, n_previous, random)
+    delay_ms = draw_half_jitter_ms(RETRY_INITIAL_MS, RETRY_MAX_MS, n_previous, random)
+    if follower.watchers is None:
+        return delay_ms
+    hold_off_store(follower, delay_ms, n_previous)
+    return 0
 
 
 def current_version(fleet_view: FleetView) -> int | None:
     """Return the version in force, None before the first."""
     configuration = fleet_view.configuration
     return None if configuration is None else configuration.version
-
-
-def end_outage(fleet_view: FleetView) -> None:
-    """Record the end of an outage before the changes that it caused are applied."""
-    if fleet_view.failing_since_ms is not None:
-        record_store_success(
-            fleet_view, fleet_view.confirmed_ms or fleet_view.failing_since_ms
-        )
--- a/packages/direct/src/pulley_direct/store/store_calls.py
+++ b/packages/direct/src/pulley_direct/store/store_calls.py
@@ -1,11 +1,12 @@
 """The interface to the platform's store, independent of its protocol."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 from pulley_base import PulleyError, Sentinel
 
-from ..state.models import CrashReports, StoreEntry
+from ..state.mirrors import StoredItem
+from ..state.models import CrashReports, RouterEntry, StoreEntry
 
 HISTORY_LOST = Sentinel("history_lost", "the store no longer has these changes")
 
@@ -28,12 +29,13 @@
 
     A watch returns the changes, ``read_all`` all entries. ``era`` changes when the
     store is restored from an older copy, None if unknown: revisions go back then and
-    are given out again.
+    are given out again. ``items`` are what the entries were decoded from.
     """
 
     entries: tuple[StoreEntry, ...]
     revision: int
     era: int | None = None
+    items: tuple[StoredItem, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,13 +56,17 @@
     ``watch`` takes a revision and the time to wait in ms, and returns HISTORY_LOST if
     the store has dropped the changes since then.
     ``grant_lease`` takes the time to live in ms. ``renew_lease`` returns False if
-    the lease has expired. ``announce`` takes the router's name, its address and a
-    lease, ``report_crashes`` a router's reports and a lease.
+    the lease has expired. ``announce`` takes the router's own entry and a lease,
+    ``report_crashes`` a router's reports and a lease. ``read_revision`` returns changes
+    without entries: the store's revision and era at the time of the call. ``decode``
+    returns the entries of items as the store holds them.
     """
 
     read_all: Callable[[], Awaitable[Changes]]
     watch: Callable[[int, int], Awaitable[Changes | Sentinel]]
     grant_lease: Callable[[int], Awaitable[LeaseGranted]]
     renew_lease: Callable[[int], Awaitable[bool]]
-    announce: Callable[[str, str, int], Awaitable[None]]
+    announce: Callable[[RouterEntry, int], Awaitable[None]]
     report_crashes: Callable[[CrashReports, int], Awaitable[None]]
+    read_revision: Callable[[], Awaitable[Changes]]
+    decode: Callable[[Sequence[StoredItem]], Awaitable[list[StoreEntry]]]
--- a/tests/adapter/steps/odd_entries.py
+++ b/tests/adapter/steps/odd_entries.py
@@ -10,7 +10,7 @@
 from samples import ENDPOINT_ENTRY
 
 from pulley_adapter.headers import attempt_headers
-from pulley_adapter.stores import decode_items
+from pulley_adapter.stores import decode_stored_item, slice_entries
 from pulley_base import split_address
 from pulley_direct.state.models import (
     AttemptParameters,
@@ -79,7 +79,8 @@
 
 
 def read_items(items):
-    return [entry for entry in decode_items(items) if entry is not None]
+    stored = [decode_stored_item(item) for item in items]
+    return [entry for entry in slice_entries(stored) if entry is not None]
 
 
 @when("the store has an endpoint's entry with {fault} beside a sound one")
--- a/tests/adapter/steps/store_calls.py
+++ b/tests/adapter/steps/store_calls.py
@@ -13,6 +13,7 @@
 
 from pulley_adapter.stores import connect_store
 from pulley_base import PulleyError
+from pulley_direct.state.models import RouterEntry
 from pulley_direct.store.store_calls import StoreCallRefused
 from pulley_http import Client, close_client, close_server
 
@@ -92,7 +93,8 @@
 def announce_router_until_expiry(context):
     async def use_store(store, calls):
         granted = await calls.grant_lease(100)
-        await calls.announce("router-1", "127.0.0.1:7000", granted.lease)
+        entry = RouterEntry("router-1", "127.0.0.1:7000", "here", "key")
+        await calls.announce(entry, granted.lease)
         before = list(store.items)
         await asyncio.sleep(0.15)
         expire_leases(store)
--- a/tests/direct/steps/crash_gossip.py
+++ b/tests/direct/steps/crash_gossip.py
@@ -123,7 +123,7 @@
             router = fixture.router
             for number in range(context.n_others):
                 entry = RouterEntry(f"other-{number}", f"10.0.0.{number + 1}:7340")
-                router.fleet_view.routers[entry.name] = entry.address
+                router.fleet_view.routers[entry.name] = entry
             router.gossip = Mock()
             router.gossip.get_write_buffer_size.return_value = 0
             sent = []
--- a/tests/spreads/spreads.feature
+++ b/tests/spreads/spreads.feature
@@ -39,13 +39,3 @@
     Given 4 endpoints and 1 contexts
     When 200 short requests come and all stay in flight
     Then no endpoint holds more than 51 requests
-
-  Scenario Outline: Watch timeout with <n_routers> routers
-    When <n_routers> routers watch a store whose changes take effect within 2000 ms
-    Then each watch waits <wait_ms> ms
-
-    Examples:
-      | n_routers | wait_ms |
-      | 1         | 1000    |
-      | 12        | 1200    |
-      | 600       | 1400    |
--- a/tests/spreads/steps/hot_endpoints.py
+++ b/tests/spreads/steps/hot_endpoints.py
@@ -24,6 +24,7 @@
     ReportedLoad,
     RetryClass,
     Route,
+    RouterEntry,
     RouterSettings,
 )
 from pulley_direct.state.routers import Router
@@ -140,7 +141,8 @@
 
 def build_router(world, clock, name, addresses):
     settings = RouterSettings(name, "", "", "", "", (0, 0), "")
-    fleet_view = FleetView(clock, clock, routers=dict(addresses))
+    routers = {one: RouterEntry(one, address) for one, address in addresses.items()}
+    fleet_view = FleetView(clock, clock, routers=routers)
     fleet_view.endpoints = {e.endpoint.name: e.endpoint for e in world.engines.values()}
     router = Router(settings, None, clock, fleet_view, None, LoadTable(clock))
     router.gossip = Wire(world, addresses[name])
--- a/tests/spreads/steps/spreads.py
+++ b/tests/spreads/steps/spreads.py
@@ -5,7 +5,6 @@
 
 from behave import given, then, when
 
-from pulley_direct.store.followers import watch_wait_ms
 from pulley_policy.homes import Place, order_places, order_sources
 from pulley_policy.spreads import Option, choose_idle, choose_warm, measure_spread
 
@@ -140,16 +139,3 @@
 @then("no endpoint holds more than {max_requests:d} requests")
 def check_even(context, max_requests):
     assert max(context.loads.values()) <= max_requests, context.loads
-
-
-@when(
-    "{n_routers:d} routers watch a store "
-    "whose changes take effect within {within_ms:d} ms"
-)
-def compute_watch_timeout(context, n_routers, within_ms):
-    context.wait_ms = watch_wait_ms(within_ms, n_routers)
-
-
-@then("each watch waits {wait_ms:d} ms")
-def check_watch_timeout(context, wait_ms):
-    assert context.wait_ms == wait_ms, context.wait_ms
