Give up the copy for followers once another router's word is applied, and try the store

A router that had watched and then applied an answer of another router kept its own older copy: it told followers an old configuration under a new confirmation, and removed tokens were let in. And a router whose watchers were cut off asked them in turn for up to 3 s, or waited out a pause of the store of up to 8 s, although the store answered.

--- a/packages/direct/src/pulley_direct/store/followers.py
+++ b/packages/direct/src/pulley_direct/store/followers.py
@@ -103,6 +103,8 @@
         await follow_watcher(follower, watcher)
         return 0
     stop_following(follower.fleet_view)
+    if follower.watchers is not None:
+        follower.watchers.n_tried = 0
     if is_store_held_off(follower):
         return next_turn_in_ms(follower)
     return await follow_store_once(follower)
--- a/packages/direct/src/pulley_direct/store/positions.py
+++ b/packages/direct/src/pulley_direct/store/positions.py
@@ -22,13 +22,17 @@
 
     ``ask`` takes a router and the revision to go on from, None to read everything, and
     returns its answer. ``failed_until_ms`` tells until which clock reading one that
-    failed is not asked, ``n_failures`` how often in succession it has.
+    failed is not asked, ``n_failures`` how often in succession it has. ``n_tried``
+    counts the failures of all since one was followed or the store was called, which it
+    is not before ``store_retry_ms``.
     """
 
     own: Member
     ask: Callable[[RouterEntry, int | None], Awaitable[RelayAnswer]]
     failed_until_ms: dict[str, int] = field(default_factory=dict)
     n_failures: dict[str, int] = field(default_factory=dict)
+    n_tried: int = 0
+    store_retry_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/direct/src/pulley_direct/store/watchers.py
+++ b/packages/direct/src/pulley_direct/store/watchers.py
@@ -22,7 +22,7 @@
 from ..state.fleet_views import FleetView, configuration_age_ms, is_store_away
 from ..state.models import RouterEntry
 from .beliefs import apply_entries, record_confirmation, replace_entries
-from .positions import Follower, forget_if_restored
+from .positions import Follower, Watchers, forget_if_restored
 from .store_calls import Changes
 
 logger = logging.getLogger(__name__)
@@ -54,11 +54,14 @@
 def choose_next(follower: Follower) -> str | None:
     """Return the watcher to ask next, None to ask the store.
 
-    A router that has read nothing yet knows no other.
+    A router that has read nothing yet knows no other; one whose watchers have just
+    failed asks the store before it asks them again.
     """
     watchers = follower.watchers
     if watchers is None or follower.fleet_view.configuration is None:
         return None
+    if watchers.n_tried >= MAX_WATCHERS_TRIED:
+        return None
     return choose_watcher(
         watchers.own.name,
         list_watchers(follower),
@@ -99,10 +102,16 @@
     age_ms = configuration_age_ms(fleet_view)
     if age_ms is None or age_ms > follower.times.stale_ms:
         raise WatcherFailed(f"its word is {age_ms} ms old", name, is_stale=True)
-    follower.watchers.n_failures.pop(name, None)
+    note_success(follower.watchers, name)
     start_following(fleet_view, name)
 
 
+def note_success(watchers: Watchers, name: str) -> None:
+    """Record that a watcher told a fresh word, so that the store answers some."""
+    watchers.n_failures.pop(name, None)
+    watchers.n_tried = watchers.store_retry_ms = 0
+
+
 async def ask(follower: Follower, entry: RouterEntry) -> RelayAnswer:
     """Return a watcher's answer.
 
@@ -120,6 +129,8 @@
     fleet_view, progress = follower.fleet_view, follower.progress
     entries = await follower.store.decode(answer.items)
     changes = Changes(tuple(entries), answer.revision, answer.era, answer.items)
+    # What is confirmed from now on is not what this router's own copy holds.
+    fleet_view.mirror = None
     if forget_if_restored(follower, changes) and not answer.whole:
         # What the new history holds up to this position is not known.
         return
@@ -136,8 +147,7 @@
 
 
 def start_following(fleet_view: FleetView, name: str) -> None:
-    """Record that a watcher is followed; its followers are not answered from here."""
-    fleet_view.mirror = None
+    """Record that a watcher is followed."""
     fleet_view.failing_since_ms = fleet_view.stale_word_ms = None
     if fleet_view.watcher != name:
         fleet_view.watcher = name
@@ -165,6 +175,7 @@
     watchers, fleet_view, name = follower.watchers, follower.fleet_view, failure.watcher
     if failure.is_stale:
         fleet_view.stale_word_ms = follower.clock.now_ms()
+    watchers.n_tried += 1
     n_failures = watchers.n_failures.get(name, 0)
     if failure.is_stale and fleet_view.failing_since_ms is not None:
         n_failures = 0
@@ -190,17 +201,15 @@
 def hold_off_store(follower: Follower, delay_ms: float, n_failures: int) -> None:
     """Call the store no more for a while, after a call that failed.
 
-    For ``delay_ms`` if the store may be away from all routers and this one is among
-    those that the others ask, longer if the others will tell when it is back, and
-    longer after each failure if it answers them.
+    While another router's word can be followed, longer after each failure. Otherwise
+    for ``delay_ms``, or longer if others wait for the store too and will tell.
     """
     watchers = follower.watchers
-    if not is_store_away(follower.fleet_view):
-        delay_ms = draw_pause_ms(STORE_HOLD_OFF_MS, n_failures)
-    elif not is_asked(follower):
+    if is_store_away(follower.fleet_view) and not is_asked(follower):
         delay_ms = draw_pause_ms(AWAY_POLL_MS, 0)
-    own = watchers.own.name
-    watchers.failed_until_ms[own] = follower.clock.deadline_ms(int(delay_ms))
+    watchers.store_retry_ms = follower.clock.deadline_ms(int(delay_ms))
+    pause_ms = draw_pause_ms(STORE_HOLD_OFF_MS, n_failures)
+    watchers.failed_until_ms[watchers.own.name] = follower.clock.deadline_ms(pause_ms)
 
 
 def is_asked(follower: Follower) -> bool:
@@ -212,18 +221,15 @@
 def is_store_held_off(follower: Follower) -> bool:
     """Check whether a call to the store failed a short while ago."""
     watchers = follower.watchers
-    if watchers is None:
-        return False
-    until_ms = watchers.failed_until_ms.get(watchers.own.name)
-    return until_ms is not None and follower.clock.now_ms() < until_ms
+    return watchers is not None and follower.clock.now_ms() < watchers.store_retry_ms
 
 
 def next_turn_in_ms(follower: Follower) -> int:
     """Return when a watcher or the store may be asked again, in ms from now."""
-    now_ms = follower.clock.now_ms()
-    waits_ms = (
-        until_ms - now_ms
-        for until_ms in follower.watchers.failed_until_ms.values()
-        if until_ms > now_ms
-    )
-    return max(MIN_TURN_MS, min(waits_ms, default=MIN_TURN_MS))
+    watchers, now_ms = follower.watchers, follower.clock.now_ms()
+    times_ms = [
+        until_ms
+        for name, until_ms in watchers.failed_until_ms.items()
+        if name != watchers.own.name and until_ms > now_ms
+    ]
+    return max(MIN_TURN_MS, min([*times_ms, watchers.store_retry_ms]) - now_ms)
