--- a/tests/following/machines/fleets.py
+++ b/tests/following/machines/fleets.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from virtual_loops import OrderedSignal
+
 from pulley_base import Clock, TimedOut, to_seconds
 from pulley_direct.peers.relay_messages import decode_answer, encode_answer
 from pulley_direct.peers.relays import (
@@ -232,7 +234,7 @@
         name,
         f"key-{fleet.n_starts}",
         clock,
-        FleetView(clock),
+        make_view(clock),
         disturbed_ms=fleet.clock.now_ms(),
     )
     watchers = Watchers(
@@ -250,6 +252,16 @@
     fleet.store.put(ROUTER_PREFIX + name, f"{centre} {router.key}".encode())
 
 
+def make_view(clock: Clock) -> FleetView:
+    """Return what a router knows as it starts; its tasks wake in a fixed order."""
+    return FleetView(
+        clock,
+        changed=OrderedSignal(),
+        confirmed=OrderedSignal(),
+        restored=OrderedSignal(),
+    )
+
+
 def find_centre(fleet: SimulatedFleet, name: str) -> str:
     """Return the data centre of a router."""
     return f"centre-{sum(name.encode()) % fleet.n_centres}"
--- a/tests/following/machines/virtual_loops.py
+++ b/tests/following/machines/virtual_loops.py
@@ -3,6 +3,32 @@
 import asyncio
 import selectors
 
+from pulley_direct.state.signals import Signal
+
+
+class OrderedSignal(Signal):
+    """A signal that wakes its tasks in the order in which they began to wait.
+
+    So that a day is the same each time that it is played.
+    """
+
+    def __init__(self):
+        self.waiters: dict[asyncio.Future, None] = {}
+
+    def notify(self) -> None:
+        waiters, self.waiters = self.waiters, {}
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait(self) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters[waiter] = None
+        try:
+            await waiter
+        finally:
+            self.waiters.pop(waiter, None)
+
 
 class InstantSelector(selectors.DefaultSelector):
     """A selector that does not wait, but tells for how long it would have waited."""
