Read the store in the same turn in which its history is found to be gone

Change: what has to be read is read at once; a router that others will tell asks the store after a quarter of the bound, not after 2 s.

--- a/packages/direct/src/pulley_direct/store/followers.py
+++ b/packages/direct/src/pulley_direct/store/followers.py
@@ -118,6 +118,9 @@
         changes = await read_everything(follower)
     else:
         changes = await watch(follower)
+    if changes is None and progress.revision is None:
+        # Nobody is asked before, as the store is known to answer.
+        changes = await read_everything(follower)
     if changes is None:
         return 0
     progress.n_failures = 0
--- a/packages/direct/src/pulley_direct/store/watchers.py
+++ b/packages/direct/src/pulley_direct/store/watchers.py
@@ -33,7 +33,6 @@
 MAX_DOUBLINGS = 8
 # Followers of one watcher ask it again at different times.
 HOLD_OFF_JITTER = 0.25
-AWAY_POLL_MS = 2_000
 STORE_HOLD_OFF_MS = 250
 MIN_TURN_MS = 20
 
@@ -206,7 +205,7 @@
     """
     watchers = follower.watchers
     if is_store_away(follower.fleet_view) and not is_asked(follower):
-        delay_ms = draw_pause_ms(AWAY_POLL_MS, 0)
+        delay_ms = draw_pause_ms(follower.times.away_poll_ms, 0)
     watchers.store_retry_ms = follower.clock.deadline_ms(int(delay_ms))
     pause_ms = draw_pause_ms(STORE_HOLD_OFF_MS, n_failures)
     watchers.failed_until_ms[watchers.own.name] = follower.clock.deadline_ms(pause_ms)
--- a/packages/policy/src/pulley_policy/watchers.py
+++ b/packages/policy/src/pulley_policy/watchers.py
@@ -23,6 +23,7 @@
 STALE_SHARE = 0.45
 ANSWER_WAIT_SHARE = 0.25
 WATCH_LAG_SHARE = 0.08
+AWAY_POLL_SHARE = 0.25
 # Checks tell what a watch misses, so that it may wait long.
 WATCH_WAIT_MS = 10_000
 
@@ -42,26 +43,29 @@
     After ``check_ms`` without a confirmation a watcher asks the store whether
     anything has changed; a change that its watch does not bring within
     ``watch_lag_ms`` is read. A watcher answers its followers within
-    ``answer_wait_ms``; one whose word is older than ``stale_ms`` is not followed.
+    ``answer_wait_ms``; one whose word is older than ``stale_ms`` is not followed. A
+    router that others will tell that the store is back asks it every ``away_poll_ms``.
     """
 
     check_ms: int
     watch_lag_ms: int
     answer_wait_ms: int
     stale_ms: int
+    away_poll_ms: int
 
 
 def derive_times(in_force_ms: int) -> FollowTimes:
     """Return the times for changes that must be in force within ``in_force_ms``.
 
-    >>> derive_times(4_000)
-    FollowTimes(check_ms=800, watch_lag_ms=320, answer_wait_ms=1000, stale_ms=1800)
+    >>> derive_times(4_000).check_ms, derive_times(4_000).away_poll_ms
+    (800, 1000)
     """
     return FollowTimes(
         check_ms=int(in_force_ms * CHECK_SHARE),
         watch_lag_ms=int(in_force_ms * WATCH_LAG_SHARE),
         answer_wait_ms=int(in_force_ms * ANSWER_WAIT_SHARE),
         stale_ms=int(in_force_ms * STALE_SHARE),
+        away_poll_ms=int(in_force_ms * AWAY_POLL_SHARE),
     )
 
 
--- a/tests/following/steps/following.py
+++ b/tests/following/steps/following.py
@@ -13,6 +13,7 @@
 
 from faults import play_day  # noqa: E402
 from fleets import PromiseBroken  # noqa: E402
+from outages import play_outage  # noqa: E402
 from virtual_loops import run_virtually  # noqa: E402
 
 from pulley_direct.store import watchers  # noqa: E402
@@ -74,3 +75,23 @@
 @then("a promise is broken")
 def check_broken(context):
     assert context.broken
+
+
+@when("the store has been away and has dropped its history, from seeds 1 to {last:d}")
+def end_outages(context, last):
+    context.seeds = range(1, last + 1)
+
+
+@when("no router hears another from {first_ms:d} to {last_ms:d} ms after that")
+def cut_after_outages(context, first_ms, last_ms):
+    context.took_ms = {}
+    for seed in context.seeds:
+        for cut_ms in (first_ms, 800, last_ms):
+            day = play_outage(Random(seed), context.n_routers, cut_ms)
+            context.took_ms[seed, cut_ms] = run_virtually(day)
+
+
+@then("every router is current once the store has been well for {stable_ms:d} ms")
+def check_current(context, stable_ms):
+    late = {day: ms for day, ms in context.took_ms.items() if ms >= stable_ms}
+    assert not late, late
