Draw the pauses of watchers by the doubling that retries have

Cause: draw_pause_ms worked out a doubled and bounded time that policy/retries has. Change: it calls double_ms; the bound of doublings of its own goes. Behaviour as before.

--- a/packages/direct/src/pulley_direct/store/watchers.py
+++ b/packages/direct/src/pulley_direct/store/watchers.py
@@ -9,6 +9,7 @@
 from random import uniform
 
 from pulley_base import PulleyError, log_event, warn_event
+from pulley_policy.retries import double_ms
 from pulley_policy.watchers import (
     MAX_WATCHERS_TRIED,
     Member,
@@ -30,7 +31,6 @@
 # A process that was killed is back sooner than after a few of these.
 HOLD_OFF_MS = 1_000
 MAX_HOLD_OFF_MS = 8_000
-MAX_DOUBLINGS = 8
 # Followers of one watcher ask it again at different times.
 HOLD_OFF_JITTER = 0.25
 STORE_HOLD_OFF_MS = 250
@@ -193,7 +193,7 @@
 
 def draw_pause_ms(first_ms: int, n_failures: int) -> int:
     """Return how long not to ask who has failed so often before, in ms."""
-    pause_ms = min(first_ms << min(n_failures, MAX_DOUBLINGS), MAX_HOLD_OFF_MS)
+    pause_ms = double_ms(first_ms, MAX_HOLD_OFF_MS, n_failures)
     return int(pause_ms * uniform(1.0 - HOLD_OFF_JITTER, 1.0 + HOLD_OFF_JITTER))
 
 
