Write a router's entry again if a late write has replaced it

Cause: the store may carry out a call of a killed process seconds later; the entry then has the key of that process, and this router renewed its lease only. Change: an entry with another key than the router's own is written again at the next renewal.

--- a/packages/direct/src/pulley_direct/store/announcements.py
+++ b/packages/direct/src/pulley_direct/store/announcements.py
@@ -77,9 +77,19 @@
     return uniform(0, n_routers * MS_PER_S / REWRITES_PER_S)
 
 
+def has_own_entry(router: Router) -> bool:
+    """Check whether the store holds this router's own entry, as far as is known.
+
+    A late write of a process before it may have replaced that one.
+    """
+    listed = router.fleet_view.routers.get(router.settings.instance)
+    return listed is None or listed.key == router.peer_key
+
+
 async def renew_entry(store: StoreClient, router: Router, lease: int | None) -> int:
     """Renew the lease, or grant a new one and write the entry; return the lease."""
-    if lease is not None and await store.renew_lease(lease):
+    is_written = lease is not None and has_own_entry(router)
+    if is_written and await store.renew_lease(lease):
         return lease
     settings = router.settings
     ttl_ms = max(LEASE_TTL_MS, settings.store_min_ttl_ms)
