Take no unframed answer for whole if its endpoint may have started again

Cause: the end of such an answer was confirmed by a connection alone, which the next start of the endpoint accepts as well; a router that stands still over the crash and the restart sees the close and a living endpoint at the same moment. Change: a wait that lasts 0.5 s longer than it should marks the job; its unframed answer then counts as broken off, as does one whose endpoint is listed with another start.

--- a/packages/direct/src/pulley_direct/requests/answer_ends.py
+++ b/packages/direct/src/pulley_direct/requests/answer_ends.py
@@ -9,7 +9,7 @@
 from pulley_base import ConnectionLost, log_event, time_limit
 
 from ..crashes.crash_probes import ProbeResult, probe_endpoint
-from ..state.counters import COMPLETE
+from ..state.counters import COMPLETE, RESTARTED
 from ..state.jobs import Job
 from ..transport.exchanges import Exchange
 from ..transport.rotation import time_left_ms
@@ -25,13 +25,15 @@
     """Check that the endpoint of an answer that ended with its connection lives on.
 
     Raises ConnectionLost, and marks the exchange as unfinished, if the endpoint accepts
-    no connections or can't be reached, and AnswerTimeout if that is not known by the
-    deadline.
+    no connections or can't be reached, or may be another start of it than the one that
+    answered, and AnswerTimeout if that is not known by the deadline.
     """
     exchange.finished = False
     result = await probe_before_deadline(exchange, job)
-    is_whole = result is ProbeResult.UP
-    end = COMPLETE if is_whole else str(result)
+    is_whole = result is ProbeResult.UP and is_same_start(exchange, job)
+    end = str(result)
+    if result is ProbeResult.UP:
+        end = COMPLETE if is_whole else RESTARTED
     exchange.router.counters.unframed_ends[end] += 1
     log_event(
         logger,
@@ -42,12 +44,25 @@
         end=end,
     )
     if not is_whole:
-        detail = f"closed without its end, and the endpoint is {result}"
+        detail = f"closed without its end, and the endpoint is {end}"
         peer = exchange.channel.address
         raise ConnectionLost(detail, step="body", peer=peer)
     exchange.finished = True
 
 
+def is_same_start(exchange: Exchange, job: Job) -> bool:
+    """Check that the endpoint that accepts connections is the one that answered.
+
+    If the router stood still while it waited, that can't be told: the endpoint may have
+    ended and started again at its address before its new entry is known.
+    """
+    if job.has_paused:
+        return False
+    asked = exchange.endpoint
+    listed = exchange.router.fleet_view.endpoints.get(asked.name)
+    return listed is None or listed.started_ms == asked.started_ms
+
+
 async def probe_before_deadline(exchange: Exchange, job: Job) -> ProbeResult:
     """Probe an endpoint, once more if it can't be reached.
 
--- a/packages/direct/src/pulley_direct/state/counters.py
+++ b/packages/direct/src/pulley_direct/state/counters.py
@@ -1,5 +1,6 @@
 """Counters and histograms of the router, and their text for Prometheus."""
 
+import sys
 from bisect import bisect_left
 from collections import Counter
 from dataclasses import dataclass, field
@@ -10,6 +11,7 @@
 UNANSWERED = "unanswered"
 
 COMPLETE = "complete"
+RESTARTED = "restarted"
 
 SENT = "sent"
 RECEIVED = "received"
@@ -33,9 +35,12 @@
     ``unfinished`` counts the requests without a whole answer: ``CANCELLED`` if the
     caller left before one began, ``UNANSWERED`` if the router ended the connection.
     ``unframed_ends`` counts the answers with neither a length nor chunks whose
-    connection was closed in order: ``COMPLETE``, or what their endpoint was then.
+    connection was closed in order: ``COMPLETE``, or what their endpoint was then,
+    ``RESTARTED`` if it may not be the start that answered.
     ``gossip`` counts the datagrams about endpoints' loads: ``SENT`` and ``RECEIVED``
-    ones, and those that were ``DROPPED`` because they are not valid.
+    ones, and those that were ``DROPPED`` because they are not valid. ``yielded`` counts
+    the bodies that stalled while others needed their room, ``turned_away`` the
+    connections of callers that were closed at once, as there were too many.
     """
 
     answers: Counter = field(default_factory=Counter)
@@ -46,6 +51,8 @@
     unfinished: Counter = field(default_factory=Counter)
     unframed_ends: Counter = field(default_factory=Counter)
     gossip: Counter = field(default_factory=Counter)
+    yielded: int = 0
+    turned_away: int = 0
 
 
 def observe_ms(histogram: Histogram, duration_ms: int) -> None:
@@ -58,8 +65,11 @@
     """Return all counters in Prometheus' text format.
 
     The library is loaded at the first use, which saves its memory in a router
-    that is not scraped.
+    that is not scraped. It imports ``ssl``, which the program masks at its start for
+    the same reason.
     """
+    if sys.modules.get("ssl", sys) is None:
+        del sys.modules["ssl"]
     from prometheus_client.core import (
         CollectorRegistry,
         CounterMetricFamily,
@@ -82,6 +92,11 @@
             for key, count in counts.items():
                 family.add_metric([str(key)], count)
             yield family
+        for name, count in (
+            ("plantainpulley_direct_yielded_bodies", counters.yielded),
+            ("plantainpulley_direct_turned_away", counters.turned_away),
+        ):
+            yield CounterMetricFamily(name, name, value=count)
         for name, value in gauges.items():
             yield GaugeMetricFamily(name, "the present value", value=value)
         histogram = HistogramMetricFamily(
--- a/packages/direct/src/pulley_direct/state/jobs.py
+++ b/packages/direct/src/pulley_direct/state/jobs.py
@@ -7,6 +7,7 @@
 
 from pulley_base import PulleyError, Reason
 from pulley_http import Response
+from pulley_policy.holdings import Holder
 from pulley_policy.losses import Scores
 
 from .models import Call, Endpoint, ReportedLoad, Route, Team
@@ -69,7 +70,9 @@
     None once it had a good answer. ``placement`` tells why the endpoint of the last
     attempt was chosen, ``reported`` is the load that this endpoint reported.
     ``elsewhere`` is set once the job is dispatched; ``other`` is the attempt beside the
-    present one, if that is silent. ``losses`` are not reported yet.
+    present one, if that is silent. ``losses`` are not reported yet. ``holder`` is the
+    room that the request has reserved. ``has_paused`` says that the router itself stood
+    still while it waited for the present attempt.
     """
 
     call: Call
@@ -95,6 +98,8 @@
     elsewhere: "Elsewhere | None" = None
     other: "OtherAttempt | None" = None
     losses: list[Loss] = field(default_factory=list)
+    holder: Holder = field(default_factory=Holder)
+    has_paused: bool = False
 
     @property
     def may_retry(self) -> bool:
--- a/packages/direct/src/pulley_direct/transport/waits.py
+++ b/packages/direct/src/pulley_direct/transport/waits.py
@@ -20,6 +20,9 @@
 POLL_INTERVAL_MS = 150
 # Silence after which another endpoint is asked if connecting to this one fails too.
 UNREACHABLE_WAIT_MS = 250
+# A wait that lasts longer than it should by this much shows that the router stood
+# still: an endpoint may have ended and started again meanwhile.
+PAUSE_MS = 500
 # Callers of a stream disconnect after two seconds without an event at the earliest.
 STREAM_STALL_MS = 1_300
 # A short answer that takes this many times its target is not expected any more.
@@ -63,7 +66,11 @@
         if reserve_other(router, job, endpoint, silent_ms):
             start_other(router, job, endpoint, connection)
         wait_ms = min(left_ms, next_check_ms(router, job))
-        if await read_within(connection, wait_ms, left_ms - wait_ms):
+        due_ms = router.clock.deadline_ms(wait_ms)
+        has_read = await read_within(connection, wait_ms, left_ms - wait_ms)
+        if router.clock.now_ms() - due_ms >= PAUSE_MS:
+            job.has_paused = True
+        if has_read:
             return
         silent_ms += wait_ms
         record_if_late(router, job, endpoint)
