Let one timeout condemn all idle connections to a server

Cause: after a silent connection the next call took the next silent one from the pool, and each cost a second.

--- a/packages/http/src/pulley_http/__init__.py
+++ b/packages/http/src/pulley_http/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 servers and clients over h11 and asyncio."""
 
-from .clients import Client, close_client, fetch, send_request
+from .clients import Client, close_client, close_idle, fetch, send_request
 from .models import (
     Headers,
     Limits,
@@ -25,6 +25,7 @@
     "Response",
     "Server",
     "close_client",
+    "close_idle",
     "close_server",
     "drain_server",
     "drop_hop_by_hop_headers",
--- a/packages/http/src/pulley_http/clients.py
+++ b/packages/http/src/pulley_http/clients.py
@@ -66,6 +66,7 @@
                 client, peer, method, target, headers, body
             )
     except TimeoutError as error:
+        close_idle(client, peer)
         raise TimedOut("no answer in time", step="head", peer=peer) from error
     if stall_timeout_ms is not None:
         connection.start_stall_timer(stall_timeout_ms)
@@ -242,6 +243,7 @@
             async with aclosing(response.body) as pieces:
                 response.body = await read_limited(pieces, peer)
     except TimeoutError as error:
+        close_idle(client, peer)
         raise TimedOut("no answer in time", step="fetch", peer=peer) from error
     return response
 
@@ -256,6 +258,16 @@
     return bytes(body)
 
 
+def close_idle(client: Client, peer: str) -> None:
+    """Close the idle connections to one server.
+
+    If one connection to it is silent, others may be too, and each would cost a call the
+    time until that is noticed.
+    """
+    for connection in client.idle.pop(peer, ()):
+        connection.close()
+
+
 def close_client(client: Client):
     """Close every pooled connection."""
     for idle_connections in client.idle.values():
