Bound what a process holds: bodies, connections and channels

Cause: nothing read memoryMb and maxFds. While a refused connection lingered, the parser kept all that came; bodies were bounded one by one only; small chunks cost 28 times their bytes and held up the loop; a burst of connections took all descriptors.

Change: one account of bytes for all bodies (policy/holdings), room for callers' and for endpoints' connections derived from the settings, a shared read buffer, 16 accepted connections a turn, long requests written as endpoints take them. What does not fit is refused as not run. A body that is not whole in its caller's time is refused with 408. A status that promises not run is not passed on for a request that has run. Loads with a fourth figure are read.

--- a/packages/base/src/pulley_base/__init__.py
+++ b/packages/base/src/pulley_base/__init__.py
@@ -12,7 +12,7 @@
 from .logs import configure_logs, log_event, warn_event
 from .outcomes import Outcome, Reason
 from .sentinels import ABSENT, UNAVAILABLE, UNKNOWN, Sentinel
-from .timeouts import time_limit, wait_for_event
+from .timeouts import interruptible, time_limit, wait_for_event
 
 __all__ = [
     "ABSENT",
@@ -29,6 +29,7 @@
     "UNKNOWN",
     "boot_time_ms",
     "configure_logs",
+    "interruptible",
     "is_address",
     "is_ip",
     "is_port",
--- a/packages/base/src/pulley_base/outcomes.py
+++ b/packages/base/src/pulley_base/outcomes.py
@@ -44,6 +44,7 @@
     KEY_REUSED = "key-reused"
     KEY_SPENT = "key-spent"
     KEY_VOIDED = "key-voided"
+    NO_MEMORY = "no-memory"
     NO_ENDPOINT = "no-endpoint"
     NO_ROUTE = "no-route"
     NO_TOKEN = "no-token"
--- a/packages/base/src/pulley_base/timeouts.py
+++ b/packages/base/src/pulley_base/timeouts.py
@@ -1,7 +1,7 @@
 """Timeouts that take into account that the event loop may be busy."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from .clock import to_seconds
@@ -40,6 +40,26 @@
                 timer.handle.cancel()
 
 
+@asynccontextmanager
+async def interruptible() -> AsyncIterator[Callable[[], None]]:
+    """Yield a function that makes the block raise TimeoutError, wherever it waits.
+
+    It does nothing once the block has ended.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as scope:
+        is_open = True
+
+        def interrupt() -> None:
+            if is_open and not scope.expired():
+                scope.reschedule(loop.time())
+
+        try:
+            yield interrupt
+        finally:
+            is_open = False
+
+
 class ExpiryTimer:
     """Expires a timeout scope, later if the loop was busy when it was due.
 
--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -48,6 +48,7 @@
         "plantainpulley_direct_endpoints": len(fleet_view.endpoints),
         "plantainpulley_direct_routers": len(fleet_view.routers),
         **count_withheld(router),
+        "plantainpulley_direct_held_bytes": router.account.n_bytes,
         "plantainpulley_direct_configuration_version": version,
         # An age of None, before the first answer of the store, is reported as 0.
         "plantainpulley_direct_configuration_age_ms": configuration_age_ms(fleet_view)
@@ -93,6 +94,9 @@
         "instance": router.settings.instance,
         "ready": is_ready(router),
         "in_flight": router.n_in_flight,
+        "unapplied_settings": router.unapplied_settings,
+        "held_bytes": router.account.n_bytes,
+        "held_bytes_most": router.account.capacity_bytes,
         "configuration": {
             "version": getattr(fleet_view.configuration, "version", None),
             "age_ms": configuration_age_ms(fleet_view),
--- a/packages/direct/src/pulley_direct/app.py
+++ b/packages/direct/src/pulley_direct/app.py
@@ -38,6 +38,7 @@
 from .state.fleet_views import FleetView
 from .state.loads import LoadTable, remove_unlisted
 from .state.models import HeaderCodec, RouterSettings
+from .state.rooms import measure_rooms
 from .state.routers import Router
 from .store.announcements import announce
 from .store.crash_reports import publish_reports
@@ -52,13 +53,29 @@
 DRAIN_POLL_MS = 50
 # A settings file that changes without a signal is reloaded within this time.
 SETTINGS_POLL_MS = 1_000
+# Settings that are in use since the start of the process.
+FIXED_SETTINGS = (
+    "instance",
+    "ip",
+    "data_centre",
+    "callers_address",
+    "ready_address",
+    "peer_ports",
+    "metrics_port",
+)
 
 
 @dataclass(slots=True)
 class RunningRouter:
-    """A running router: its state, its listeners and its tasks."""
+    """A running router: its state, its listeners and its tasks.
+
+    ``store_tasks`` are those that call the store; ``start_store_tasks`` starts them.
+    """
 
     router: Router
+    store: StoreClient
+    start_store_tasks: Callable[[], list[asyncio.Task]]
+    store_tasks: list[asyncio.Task]
     caller_server: Server
     ready_server: Server
     admin_server: Server | None
@@ -83,9 +100,9 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     running = await start_router(settings, header_codec, store, format_retry_after)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, running.router, reload)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, running, reload)
     running.tasks.append(
-        asyncio.create_task(watch_settings(running.router, reload, modified_ns))
+        asyncio.create_task(watch_settings(running, reload, modified_ns))
     )
     await stop_requested.wait()
     await drain(running)
@@ -116,35 +133,61 @@
         clock=clock,
         on_unanswered=lambda: router.counters.unfinished.update([UNANSWERED]),
         format_retry_after=format_retry_after,
+        max_connections=router.rooms.caller_connections,
+        on_turned_away=lambda: count_turned_away(router),
     )
     ready_server = await listen(
         settings.ready_address, lambda request: answer_ready(router, request)
     )
     admin_server = await listen_admin(router)
     await open_gossip(router, partial(receive, router))
-    bounds = settings.bounds
-    in_force_ms = min(bounds.configuration_ms, bounds.drain_ms)
-    times = derive_times(in_force_ms)
-    relay_server = await open_relay(router, times)
+    relay_server = await open_relay(router, derive_times(in_force_ms(settings)))
     log_event(logger, "started", instance=settings.instance, at_ms=clock.now_ms())
-    watchers = find_watchers(settings, times)
     if relay_server is None:
         # Nobody could follow this router; it watches the store for itself.
-        router.peer_key, watchers = "", None
+        router.peer_key = ""
+    start_tasks = partial(start_store_tasks, store, router)
     tasks = [
-        asyncio.create_task(
-            follow_store(store, fleet_view, clock, in_force_ms, watchers)
-        ),
-        asyncio.create_task(announce(store, router)),
-        asyncio.create_task(publish_reports(store, router)),
         asyncio.create_task(ask_versions(router)),
         asyncio.create_task(run_housekeeping(router, caller_server)),
     ]
     return RunningRouter(
-        router, caller_server, ready_server, admin_server, relay_server, tasks
+        router,
+        store,
+        start_tasks,
+        start_tasks(),
+        caller_server,
+        ready_server,
+        admin_server,
+        relay_server,
+        tasks,
     )
 
 
+def in_force_ms(settings: RouterSettings) -> int:
+    """Return the time within which a change in the store must be in force, in ms."""
+    return min(settings.bounds.configuration_ms, settings.bounds.drain_ms)
+
+
+def start_store_tasks(store: StoreClient, router: Router) -> list[asyncio.Task]:
+    """Start the tasks that call the store."""
+    limit_ms = in_force_ms(router.settings)
+    watchers = None
+    if router.peer_key:
+        watchers = find_watchers(router.settings, derive_times(limit_ms))
+    following = follow_store(store, router.fleet_view, router.clock, limit_ms, watchers)
+    return [
+        asyncio.create_task(following),
+        asyncio.create_task(announce(store, router)),
+        asyncio.create_task(publish_reports(store, router)),
+    ]
+
+
+def count_turned_away(router: Router) -> None:
+    """Count a caller's connection that was closed at once, as there were too many."""
+    router.counters.turned_away += 1
+
+
 def find_watchers(settings: RouterSettings, times: FollowTimes) -> Watchers:
     """Return how this router asks others that watch the store."""
     client = Client(connect_timeout_ms=times.answer_wait_ms)
@@ -154,7 +197,7 @@
 
 def close_router(running: RunningRouter) -> None:
     """Cancel the tasks and close every connection."""
-    for task in running.tasks:
+    for task in [*running.tasks, *running.store_tasks]:
         task.cancel()
     close_gossip(running.router)
     servers = (
@@ -226,7 +269,7 @@
 
 
 async def watch_settings(
-    router: Router,
+    running: RunningRouter,
     reload: Callable[[], RouterSettings],
     modified_ns: Callable[[], int],
 ) -> None:
@@ -237,14 +280,63 @@
         found_ns = modified_ns()
         if found_ns != known_ns:
             known_ns = found_ns
-            reload_settings(router, reload)
+            reload_settings(running, reload)
 
 
-def reload_settings(router: Router, reload: Callable[[], RouterSettings]) -> None:
-    """Reload the settings file; an invalid file changes nothing."""
+def reload_settings(
+    running: RunningRouter, reload: Callable[[], RouterSettings]
+) -> None:
+    """Reload the settings file; an invalid file changes nothing.
+
+    What can't change while the process runs is logged, and shown on the status page.
+    """
+    router = running.router
     try:
-        router.settings = reload()
+        found = reload()
     except SettingsError as error:
         log_event(logger, "reload_refused", error=str(error))
         return
-    log_event(logger, "reloaded", instance=router.settings.instance)
+    old = router.settings
+    router.unapplied_settings = list_unapplied(old, found)
+    kept = {name: getattr(old, name) for name in FIXED_SETTINGS}
+    router.settings = replace(found, **kept)
+    apply_limits(running)
+    if calls_store_otherwise(old, router.settings):
+        restart_store_tasks(running)
+    log_event(
+        logger,
+        "reloaded",
+        instance=router.settings.instance,
+        store=router.settings.store_address,
+        unapplied=",".join(router.unapplied_settings) or None,
+    )
+
+
+def list_unapplied(old: RouterSettings, found: RouterSettings) -> list[str]:
+    """Return the settings that have changed and need a restart."""
+    return [
+        name for name in FIXED_SETTINGS if getattr(found, name) != getattr(old, name)
+    ]
+
+
+def apply_limits(running: RunningRouter) -> None:
+    """Divide up what the process may use once more."""
+    router = running.router
+    router.rooms = measure_rooms(router.settings.limits)
+    router.account.capacity_bytes = router.rooms.bodies_bytes
+    running.caller_server.max_connections = router.rooms.caller_connections
+
+
+def calls_store_otherwise(old: RouterSettings, new: RouterSettings) -> bool:
+    """Check whether the store has moved, or has to be followed at another pace."""
+    if old.store_address != new.store_address:
+        return True
+    return in_force_ms(old) != in_force_ms(new)
+
+
+def restart_store_tasks(running: RunningRouter) -> None:
+    """Call the store that the settings name, and read all that it holds."""
+    for task in running.store_tasks:
+        task.cancel()
+    running.store.move(running.router.settings.store_address)
+    running.store_tasks = running.start_store_tasks()
--- a/packages/direct/src/pulley_direct/requests/attempts.py
+++ b/packages/direct/src/pulley_direct/requests/attempts.py
@@ -12,6 +12,8 @@
     Channel,
     allow_late_reading,
     close_channel,
+    close_idle,
+    close_oldest_idle,
     connect_channel,
     take_idle,
 )
@@ -20,7 +22,7 @@
 from ..state.models import Endpoint
 from ..state.routers import Router
 from ..transport.exchanges import Exchange, failure_reason
-from ..transport.request_heads import build_request_headers, encode_request
+from ..transport.request_heads import build_request_headers, write_request
 from .answer_heads import read_matching_head
 from .head_reports import record_head
 
@@ -69,6 +71,14 @@
         channel = take_idle(router.pool, endpoint.address)
         if channel is not None:
             return channel
+    if not has_room_for_channel(router):
+        raise AttemptFailed(
+            Reason.ENDPOINT_BUSY,
+            "this router has no room for another channel",
+            endpoint,
+            reached=False,
+            may_have_run=False,
+        )
     try:
         channel = await connect_channel(router.pool, endpoint.address)
     except PulleyError as error:
@@ -83,6 +93,14 @@
     return channel
 
 
+def has_room_for_channel(router: Router) -> bool:
+    """Check whether the router may open one more channel; an idle one yields to it."""
+    pool = router.pool
+    if pool.n_open.total() < router.rooms.endpoint_connections:
+        return True
+    return close_oldest_idle(pool)
+
+
 def is_at_channel_limit(router: Router, endpoint: Endpoint) -> bool:
     """Check whether this router's share of an endpoint's connections is in use.
 
@@ -115,7 +133,6 @@
     request = h11.Request(
         method=job.call.method, target=job.call.target, headers=headers
     )
-    connection = channel.connection
     check_sendable(router, channel, endpoint)
     allow_late_reading(channel, len(job.body), left_ms)
     job.sent_to.append(endpoint.name)
@@ -124,13 +141,16 @@
     job.sent_ms = router.clock.now_ms()
     job.placement = target.placement
     job.reported = None
-    connection.transport.write(encode_request(connection.h11, request, job.body))
+    job.has_paused = False
+    write_request(channel, request, job.body)
     log_lost_before(router, job, endpoint)
     try:
         head, metadata = await read_matching_head(
             router, job, channel, request, endpoint
         )
     except PulleyError as error:
+        if has_timed_out(channel):
+            close_idle(router.pool, endpoint.address)
         raise AttemptFailed(failure_reason(error), str(error), endpoint) from error
     record_head(router, job, endpoint, head.status_code, metadata)
     answer_headers = [(bytes(key), bytes(value)) for key, value in head.headers]
@@ -145,6 +165,11 @@
     )
 
 
+def has_timed_out(channel: Channel) -> bool:
+    """Check whether the kernel ended a channel on which nothing was acknowledged."""
+    return isinstance(channel.connection.error, TimeoutError)
+
+
 def check_sendable(router: Router, channel: Channel, endpoint: Endpoint) -> None:
     """Raise AttemptFailed if a request must not be written any more.
 
--- a/packages/direct/src/pulley_direct/requests/bodies.py
+++ b/packages/direct/src/pulley_direct/requests/bodies.py
@@ -11,6 +11,10 @@
     read_chunk,
 )
 from .answer_ends import confirm_end
+from .uploads import hold_answer
+
+# Small answers are not counted.
+MAX_UNCOUNTED_BYTES = 64 * 1024
 
 
 async def read_whole_body(exchange: Exchange, job: Job) -> bytes:
@@ -30,16 +34,21 @@
 async def read_body(exchange: Exchange, job: Job) -> bytes:
     """Read an answer's body to the end of its framing, or of its connection.
 
-    Raises AttemptFailed if the body is cut, late or larger than ``MAX_BODY_BYTES``.
+    Raises AttemptFailed if the body is cut, late or larger than ``MAX_BODY_BYTES``, or
+    if there is no room to hold it.
     """
     chunks = []
-    n_bytes = 0
+    n_bytes = n_held = 0
     try:
         while not exchange.finished:
             chunk = await read_chunk(exchange, job)
             if chunk is not None:
                 chunks.append(chunk)
                 n_bytes += len(chunk)
+            if n_bytes - n_held > MAX_UNCOUNTED_BYTES:
+                if not hold_answer(exchange.router, job.holder, n_bytes - n_held):
+                    raise ConnectionLost("no room for the answer", step="body")
+                n_held = n_bytes
             if n_bytes > MAX_BODY_BYTES:
                 raise ConnectionLost("the answer is too large", step="body")
     except PulleyError as error:
--- a/packages/direct/src/pulley_direct/requests/dispatch.py
+++ b/packages/direct/src/pulley_direct/requests/dispatch.py
@@ -40,6 +40,9 @@
 RETRY_AFTER_MS = 200
 FIRST_NON_SUCCESS_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
+# Timeout, too many requests, unavailable: what the router itself sends for a request
+# that has not run.
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
 # Unauthorized, forbidden, timeout, too early, too many requests: the request itself may
 # not have been looked at.
 UNREAD_STATUSES = frozenset({401, 403, 408, 425, 429})
@@ -163,6 +166,10 @@
     router: Router, job: Job, endpoint: Endpoint, response: Response
 ) -> Response | None:
     """Return the answer to pass on; None to send the job again after an error."""
+    if promises_not_run(response.status) and not job.route.retryable:
+        job.may_have_run = True
+        detail = f"status {response.status}, which does not say that it has not run"
+        return fall_back_or_refuse(router, job, Reason.ENGINE_ERROR, detail)
     if response.status < FIRST_SERVER_ERROR_STATUS:
         if job.other is not None:
             log_event(
@@ -178,6 +185,14 @@
     return None if should_retry_error(router, job, response) else response
 
 
+def promises_not_run(status: int) -> bool:
+    """Check whether callers take a status for the promise that nothing has run.
+
+    An endpoint that ran the request may answer with it all the same.
+    """
+    return status in NOT_RUN_STATUSES
+
+
 async def answer_elsewhere(
     router: Router, job: Job, silent: Endpoint
 ) -> Response | None:
--- a/packages/direct/src/pulley_direct/requests/front.py
+++ b/packages/direct/src/pulley_direct/requests/front.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import logging
+from functools import partial
 from random import random, uniform
 
 from pulley_base import Reason, log_event
-from pulley_http import Request, RequestRefused, Response, read_all
+from pulley_http import Request, RequestRefused, Response
 
 from ..peers.versions import is_outdated
 from ..state.counters import CANCELLED, observe_ms
@@ -16,8 +17,10 @@
 from ..state.routes import choose_service, find_route, find_team, refresh_index
 from ..state.signals import wait_until
 from ..transport.rotation import can_finish
+from .deliveries import hold_until_taken
 from .dispatch import dispatch
 from .trust import has_fresh_tokens
+from .uploads import Upload, receive_body, release_upload
 
 logger = logging.getLogger(__name__)
 
@@ -44,22 +47,22 @@
     """
     arrived_ms = router.clock.now_ms()
     call = router.header_codec.read_call(request)
-    job = None
+    job, upload = None, Upload()
     router.n_in_flight += 1
     try:
-        body = await read_all(request.body)
+        timeout_ms = call.timeout_ms or DEFAULT_TIMEOUT_MS
+        body = await receive_body(router, request, upload, timeout_ms)
         job = await admit(router, call, body, arrived_ms)
+        job.holder = upload
         response = await dispatch(router, job)
-    except RequestRefused as refusal:
-        record_refusal(router, call, job, refusal, arrived_ms)
-        raise
-    except asyncio.CancelledError:
-        record_cancellation(router, call, job, arrived_ms)
+    except BaseException as error:
+        release_upload(router, upload)
+        record_end(router, call, job, error, arrived_ms)
         raise
     finally:
         router.n_in_flight -= 1
     record_answer(router, job, response, arrived_ms)
-    return response
+    return hold_until_taken(response, partial(release_upload, router, upload))
 
 
 async def admit(router: Router, call: Call, body: bytes, arrived_ms: int) -> Job:
@@ -156,6 +159,20 @@
     )
 
 
+def record_end(
+    router: Router,
+    call: Call,
+    job: Job | None,
+    error: BaseException,
+    arrived_ms: int,
+) -> None:
+    """Record that a request gets no endpoint's answer."""
+    if isinstance(error, RequestRefused):
+        record_refusal(router, call, job, error, arrived_ms)
+    elif isinstance(error, asyncio.CancelledError):
+        record_cancellation(router, call, job, arrived_ms)
+
+
 def record_refusal(
     router: Router,
     call: Call,
--- a/packages/direct/src/pulley_direct/state/channels.py
+++ b/packages/direct/src/pulley_direct/state/channels.py
@@ -1,5 +1,6 @@
 """A pool of reusable connections to endpoints."""
 
+import asyncio
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -38,6 +39,7 @@
     ``expires_ms`` is the clock reading until which it may be reused. ``is_patient``
     says that it carried a long request, which its endpoint may not have read yet: an
     endpoint may answer before. ``n_requests`` counts the requests sent on it.
+    ``writing`` is the task that writes a long request, None for others.
     """
 
     connection: ClientConnection
@@ -45,6 +47,12 @@
     expires_ms: int = 0
     is_patient: bool = False
     n_requests: int = 0
+    writing: asyncio.Task | None = None
+
+    @property
+    def is_writing(self) -> bool:
+        """Return whether a long request is still being written."""
+        return self.writing is not None and not self.writing.done()
 
 
 @dataclass(slots=True)
@@ -123,6 +131,23 @@
     pool.idle.setdefault(channel.address, []).append(channel)
 
 
+def close_idle(pool: ChannelPool, address: str) -> None:
+    """Close the idle channels to an address, as another one to it has gone silent."""
+    for channel in pool.idle.pop(address, ()):
+        close_channel(pool, channel)
+
+
+def close_oldest_idle(pool: ChannelPool) -> bool:
+    """Close the idle channel that expires first; return False if none is idle."""
+    channels = (one for idle in pool.idle.values() for one in idle)
+    oldest = min(channels, key=lambda one: one.expires_ms, default=None)
+    if oldest is None:
+        return False
+    pool.idle[oldest.address].remove(oldest)
+    close_channel(pool, oldest)
+    return True
+
+
 def close_channel(pool: ChannelPool, channel: Channel) -> None:
     """Close a channel at once.
 
@@ -132,6 +157,8 @@
     pool.n_open[channel.address] -= 1
     if pool.n_open[channel.address] <= 0:
         del pool.n_open[channel.address]
+    if channel.writing is not None:
+        channel.writing.cancel()
     transport = channel.connection.transport
     if transport is not None:
         transport.abort()
--- a/packages/direct/src/pulley_direct/state/models.py
+++ b/packages/direct/src/pulley_direct/state/models.py
@@ -8,6 +8,8 @@
 from pulley_http import Headers, Limits, Request
 from pulley_policy.losses import Clearance, LostRequest
 
+USUAL_PERCENT = 100
+
 
 class RetryClass(StrEnum):
     """Retry class of a route: which of its requests may be sent more than once."""
@@ -207,11 +209,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """Load that an endpoint reported with an answer, in requests."""
+    """Load that an endpoint reported with an answer, in requests.
+
+    ``duration_percent`` is how long work takes there at the moment, as a percentage of
+    what it usually takes.
+    """
 
     running: int
     waiting: int
     slots: int
+    duration_percent: int = USUAL_PERCENT
 
     @property
     def n_requests(self) -> int:
@@ -275,6 +282,14 @@
     retry_slack: int = 100
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessLimits:
+    """Memory in MB and descriptors that the platform lets a process have."""
+
+    memory_mb: int = 512
+    descriptors: int = 8_192
+
+
 @dataclass(frozen=True, slots=True)
 class RouterSettings:
     """Settings that a router gets at its start.
@@ -290,5 +305,6 @@
     peer_ports: tuple[int, int]
     store_address: str
     bounds: Bounds = field(default_factory=Bounds)
+    limits: ProcessLimits = field(default_factory=ProcessLimits)
     store_min_ttl_ms: int = 1_000
     metrics_port: int = 0
--- a/packages/direct/src/pulley_direct/state/routers.py
+++ b/packages/direct/src/pulley_direct/state/routers.py
@@ -6,6 +6,7 @@
 
 from pulley_base import Clock
 from pulley_policy.buckets import TokenBucket
+from pulley_policy.holdings import Account
 from pulley_policy.retries import RetryBudget
 
 from .channels import ChannelPool
@@ -13,6 +14,7 @@
 from .fleet_views import FleetView
 from .loads import LoadTable
 from .models import HeaderCodec, RouterSettings
+from .rooms import Rooms, measure_rooms
 from .routes import RouteIndex
 
 PEER_KEY_BYTES = 16
@@ -34,6 +36,9 @@
     ``n_relayed`` how many of their requests it holds.
     ``probes`` holds the running crash probes by address,
     ``reporting`` the tasks that report the losses of requests that have ended.
+    ``rooms`` is what the process may hold, ``account`` what its requests have reserved
+    of that for their bodies. ``unapplied_settings`` names those that have changed and
+    take effect at the next start.
     """
 
     settings: RouterSettings
@@ -52,4 +57,11 @@
     gossip: asyncio.DatagramTransport | None = None
     crash_bucket: TokenBucket | None = None
     n_relayed: int = 0
+    unapplied_settings: list[str] = field(default_factory=list)
     peer_key: str = field(default_factory=draw_peer_key, repr=False)
+    rooms: Rooms = field(init=False)
+    account: Account = field(init=False)
+
+    def __post_init__(self):
+        self.rooms = measure_rooms(self.settings.limits)
+        self.account = Account(self.rooms.bodies_bytes)
--- a/packages/direct/src/pulley_direct/store/store_calls.py
+++ b/packages/direct/src/pulley_direct/store/store_calls.py
@@ -59,7 +59,8 @@
     the lease has expired. ``announce`` takes the router's own entry and a lease,
     ``report_crashes`` a router's reports and a lease. ``read_revision`` returns changes
     without entries: the store's revision and era at the time of the call. ``decode``
-    returns the entries of items as the store holds them.
+    returns the entries of items as the store holds them. ``move`` takes the address
+    that the store has from now on.
     """
 
     read_all: Callable[[], Awaitable[Changes]]
@@ -70,3 +71,4 @@
     report_crashes: Callable[[CrashReports, int], Awaitable[None]]
     read_revision: Callable[[], Awaitable[Changes]]
     decode: Callable[[Sequence[StoredItem]], Awaitable[list[StoreEntry]]]
+    move: Callable[[str], None]
--- a/packages/http/src/pulley_http/connections.py
+++ b/packages/http/src/pulley_http/connections.py
@@ -13,7 +13,7 @@
     to_seconds,
 )
 
-READ_AHEAD_BYTES = 256 * 1024
+READ_AHEAD_BYTES = 64 * 1024
 CHECKS_PER_STALL_TIMEOUT = 4
 
 # The kernel sets keep-alive times in whole seconds; 1 is the smallest value.
--- a/packages/http/src/pulley_http/request_reads.py
+++ b/packages/http/src/pulley_http/request_reads.py
@@ -13,6 +13,10 @@
 from .problems import RequestRefused
 from .server_connections import HttpConnection
 
+# Pieces of a body that are parsed before other connections get a turn: little work
+# even if a caller sends very small chunks.
+PIECES_PER_TURN = 32
+
 FOLDED_LINE = re.compile(rb"\n[ \t]")
 
 
@@ -32,8 +36,6 @@
     started_ms = server.clock.now_ms()
     ended = False
     while event is h11.NEED_DATA:
-        if len(connection.h11.trailing_data[0]) > server.limits.head_bytes:
-            raise head_too_large()
         end_ms = started_ms + server.limits.head_timeout_ms
         remaining_ms = end_ms - server.clock.now_ms()
         if ended or not await connection.wait_for_data(remaining_ms):
@@ -77,9 +79,12 @@
 def next_head_event(connection: HttpConnection):
     """Return h11's next event while a head is expected.
 
-    Raises RequestRefused on folded header lines, which HTTP/1.1 deprecates.
+    Raises RequestRefused on folded header lines, which HTTP/1.1 deprecates, and on a
+    head that has no end yet and is over the limit.
     """
-    head, _, _ = connection.h11.trailing_data[0].partition(b"\r\n\r\n")
+    head, end, _ = connection.h11.trailing_data[0].partition(b"\r\n\r\n")
+    if not end and len(head) > connection.server.limits.head_bytes:
+        raise head_too_large()
     if FOLDED_LINE.search(head):
         raise RequestRefused(
             400, Reason.BAD_REQUEST, "a header line is folded", step="head"
@@ -122,7 +127,7 @@
     frames its chunks exceeds the limit on heads.
     """
     server = connection.server
-    n_bytes = 0
+    n_bytes = n_pieces = 0
     if connection.h11.they_are_waiting_for_100_continue:
         connection.write(
             connection.h11.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -138,6 +143,9 @@
                 )
         elif isinstance(event, h11.Data):
             n_bytes += len(event.data)
+            n_pieces += 1
+            if n_pieces % PIECES_PER_TURN == 0:
+                await asyncio.sleep(0)
             if n_bytes > server.limits.body_bytes:
                 raise body_too_large(connection)
             yield bytes(event.data)
--- a/packages/http/src/pulley_http/response_writes.py
+++ b/packages/http/src/pulley_http/response_writes.py
@@ -27,13 +27,13 @@
     """Send the response; close the connection early if its body fails."""
     discard_unread_body(connection)
     if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        await close_body(response)
         return
     try:
         head = build_response_head(connection, response)
     except h11.LocalProtocolError as error:
         warn_event(logger, "response_invalid", peer=connection.peer, error=str(error))
-        if not isinstance(response.body, bytes):
-            await response.body.aclose()
+        await close_body(response)
         response = internal_error()
         head = build_response_head(connection, response)
     connection.write(connection.h11.send(head))
@@ -48,6 +48,12 @@
         await linger(connection)
 
 
+async def close_body(response: Response) -> None:
+    """Close the body of a response that is not sent."""
+    if not isinstance(response.body, bytes):
+        await response.body.aclose()
+
+
 async def stream_body(connection: HttpConnection, body: AsyncIterator[bytes]) -> None:
     """Send the body's pieces as they are produced, with backpressure.
 
@@ -87,11 +93,11 @@
     might not get to read the response.
     """
     connection.transport.write_eof()
+    connection.discard()
     clock = connection.server.clock
     deadline_ms = clock.deadline_ms(LINGER_MS)
     while not connection.peer_closed and clock.now_ms() < deadline_ms:
         connection.data_arrived.clear()
-        connection.resume_reading()
         await connection.wait_for_data(deadline_ms - clock.now_ms())
 
 
--- a/packages/http/src/pulley_http/server_connections.py
+++ b/packages/http/src/pulley_http/server_connections.py
@@ -7,19 +7,26 @@
 
 from pulley_base import wait_for_event
 
-READ_AHEAD_BYTES = 256 * 1024
+# Bytes of a connection that are read ahead of its task, and those read in one turn.
+READ_AHEAD_BYTES = 32 * 1024
+READ_TURN_BYTES = 16 * 1024
 # The most bytes that h11 holds of a head, or of a chunk's head. The limit on heads is
 # enforced on reading, as it may change while a connection is open.
 MAX_EVENT_BYTES = 1024 * 1024
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """One caller's connection; ``serve`` answers its requests.
 
+    All connections of a server read into one buffer, so that many callers who send at
+    the same moment take no more memory than ``READ_AHEAD_BYTES`` each.
+
     ``handling`` is true while a handler runs or its response is being sent,
     ``n_requests`` counts the requests whose head was read, and ``announced_idle_ms``
-    is the idle timeout that the last answer announced. ``closed`` is done when
-    the connection has ended and all that was written to it has been sent.
+    is the idle timeout that the last answer announced. ``waits_since_ms`` is the clock
+    reading since which it waits for a request, None while it has one. What arrives is
+    dropped once ``is_discarding`` is set. ``closed`` is done when the connection has
+    ended and all that was written to it has been sent.
     """
 
     def __init__(self, server, serve: Callable[["HttpConnection"], Coroutine]):
@@ -36,6 +43,8 @@
         self.peer_closed = False
         self.reading_paused = False
         self.n_unread_bytes = 0
+        self.waits_since_ms = None
+        self.is_discarding = False
         self.closed = asyncio.get_running_loop().create_future()
         self.data_arrived = asyncio.Event()
         self.writable = asyncio.Event()
@@ -44,13 +53,24 @@
     def connection_made(self, transport):
         self.transport = transport
         self.peer = "%s:%s" % transport.get_extra_info("peername")[:2]
+        if not self.server.make_room(self.server):
+            self.server.on_turned_away()
+            self.closed.set_result(None)
+            transport.abort()
+            return
         self.server.connections.add(self)
+        self.waits_since_ms = self.server.clock.now_ms()
         self.task = asyncio.get_running_loop().create_task(self.serve(self))
 
-    def data_received(self, data: bytes):
-        self.n_unread_bytes += len(data)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.server.read_buffer
+
+    def buffer_updated(self, nbytes: int):
+        if self.is_discarding:
+            return
+        self.n_unread_bytes += nbytes
         try:
-            self.h11.receive_data(data)
+            self.h11.receive_data(self.server.read_buffer[:nbytes])
         except h11.RemoteProtocolError:
             self.transport.close()
         if self.n_unread_bytes > READ_AHEAD_BYTES and not self.reading_paused:
@@ -59,6 +79,8 @@
         self.data_arrived.set()
 
     def eof_received(self):
+        if self.task is None:
+            return False
         self.peer_closed = True
         self.data_arrived.set()
         if self.handling:
@@ -69,6 +91,8 @@
 
     def connection_lost(self, exc):
         self.peer_closed = True
+        if self.task is None:
+            return
         self.closed.set_result(None)
         self.server.connections.discard(self)
         self.writable.set()
@@ -93,14 +117,27 @@
         self.transport.abort()
 
     def next_event(self):
-        """Return h11's next event; resume reading once the buffer is empty."""
+        """Return h11's next event; resume reading once it has taken what was read."""
         self.data_arrived.clear()
         event = self.h11.next_event()
         if event is h11.NEED_DATA:
             self.n_unread_bytes = 0
             self.resume_reading()
+        elif isinstance(event, h11.EndOfMessage):
+            self.n_unread_bytes = len(self.h11.trailing_data[0])
+            if self.n_unread_bytes <= READ_AHEAD_BYTES:
+                self.resume_reading()
         return event
 
+    def is_waiting(self) -> bool:
+        """Check whether the connection waits for a request of which nothing is here."""
+        return self.waits_since_ms is not None and not self.n_unread_bytes
+
+    def discard(self):
+        """Drop what arrives from now on."""
+        self.is_discarding = True
+        self.resume_reading()
+
     def resume_reading(self):
         """Read from the socket again if that was paused."""
         if self.reading_paused:
--- a/packages/http/src/pulley_http/server_loops.py
+++ b/packages/http/src/pulley_http/server_loops.py
@@ -67,6 +67,7 @@
         if head is None:
             return False
         connection.n_requests += 1
+        connection.waits_since_ms = None
         request = build_request(connection, head)
         connection.method = request.method
         connection.handling = True
@@ -84,6 +85,7 @@
         response = internal_error()
     await send_response(connection, response)
     connection.handling = False
+    connection.waits_since_ms = connection.server.clock.now_ms()
     return is_reusable(connection)
 
 
--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -1,22 +1,35 @@
 """An HTTP/1.1 server over h11 and asyncio, with one task per connection."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from pulley_base import Clock, time_limit
 
+from .connection_limits import make_room
 from .models import Limits, Request, Response
 from .problems import RequestRefused, format_whole_seconds
-from .server_connections import HttpConnection
+from .server_connections import READ_TURN_BYTES, HttpConnection
 from .server_loops import serve_connection
 
 Handler = Callable[[Request], Awaitable[Response]]
 
+# Connections that the kernel holds until they are accepted.
+LISTEN_BACKLOG = 1024
+# Those accepted in one turn of the loop: each takes a descriptor before it can be
+# turned away.
+ACCEPTED_PER_TURN = 16
+
 
 @dataclass(slots=True)
 class Server:
-    """A listening server and its open connections."""
+    """A listening server and its open connections.
+
+    ``max_connections`` is the most that are open at once, 0 for no limit; ``make_room``
+    tells whether another one may be, ``on_turned_away`` is called for each that may
+    not. ``read_buffer`` takes what is read from any connection.
+    """
 
     handler: Handler
     limits: Limits
@@ -24,6 +37,12 @@
     on_refused: Callable[[RequestRefused], None]
     on_unanswered: Callable[[], None]
     format_retry_after: Callable[[int], bytes] = format_whole_seconds
+    max_connections: int = 0
+    on_turned_away: Callable[[], None] = lambda: None
+    make_room: Callable[["Server"], bool] = make_room
+    read_buffer: memoryview = field(
+        default_factory=lambda: memoryview(bytearray(READ_TURN_BYTES))
+    )
     listener: asyncio.Server | None = None
     connections: set[HttpConnection] = field(default_factory=set)
     draining: bool = False
@@ -45,6 +64,8 @@
     on_refused: Callable[[RequestRefused], None] = lambda refusal: None,
     on_unanswered: Callable[[], None] = lambda: None,
     format_retry_after: Callable[[int], bytes] = format_whole_seconds,
+    max_connections: int = 0,
+    on_turned_away: Callable[[], None] = lambda: None,
 ) -> Server:
     """Listen on ``host:port`` and answer each request with ``handler``.
 
@@ -53,19 +74,44 @@
     the task that runs the handler and sends the body is cancelled.
     ``on_refused`` is called for each refusal, also for those of the server,
     ``on_unanswered`` for each connection that the server itself ends while a request
-    on it has no whole answer.
+    on it has no whole answer, ``on_turned_away`` for each that is closed at once as
+    ``max_connections`` are open (0 for no limit).
     """
     limits, clock = limits or Limits(), clock or Clock()
     server = Server(
-        handler, limits, clock, on_refused, on_unanswered, format_retry_after
+        handler,
+        limits,
+        clock,
+        on_refused,
+        on_unanswered,
+        format_retry_after,
+        max_connections,
+        on_turned_away,
     )
+    listening = open_listener(host, port)
     loop = asyncio.get_running_loop()
     server.listener = await loop.create_server(
-        lambda: HttpConnection(server, serve_connection), host, port, backlog=1024
+        lambda: HttpConnection(server, serve_connection),
+        sock=listening,
+        backlog=ACCEPTED_PER_TURN,
     )
+    # The loop accepts as many in one turn as the backlog that it was given.
+    listening.listen(LISTEN_BACKLOG)
     return server
 
 
+def open_listener(host: str, port: int) -> socket.socket:
+    """Return a socket that is bound to an address; raises OSError if that is taken."""
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listening.bind((host, port))
+    except OSError:
+        listening.close()
+        raise
+    return listening
+
+
 def close_server(server: Server) -> None:
     """Stop listening and abort the open connections."""
     server.listener.close()
--- a/tests/following/machines/fleets.py
+++ b/tests/following/machines/fleets.py
@@ -188,7 +188,7 @@
         return Changes(entries, *found, tuple(items))
 
     return StoreClient(
-        read_all, watch, None, None, None, None, read_revision, decode_items
+        read_all, watch, None, None, None, None, read_revision, decode_items, None
     )
 
 
