Serve evacuations and cold endpoints, and read endpoints ahead of configurations

Change: once the store's word is older than half of the bound, a router reads the endpoints and evacuations alone, a few KB.

Not measured yet.

--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -8,6 +8,7 @@
 from pulley_http import Request, Response
 from pulley_policy.crashes import list_quarantined
 
+from .endpoints.cold_starts import cold_rate_per_s
 from .endpoints.departures import is_leaving
 from .endpoints.limits import current_limit
 from .requests.trust import has_fresh_tokens, is_ready
@@ -68,6 +69,13 @@
     """Return how many listed endpoints get no work or less, by metric name."""
     endpoints = router.fleet_view.endpoints
     return {
+        "plantainpulley_direct_evacuated_data_centres": len(
+            router.fleet_view.evacuated
+        ),
+        "plantainpulley_direct_cold_endpoints": sum(
+            cold_rate_per_s(router.fleet_view, one) is not None
+            for one in endpoints.values()
+        ),
         "plantainpulley_direct_leaving_endpoints": sum(
             is_leaving(router.fleet_view, one) for one in endpoints.values()
         ),
@@ -106,6 +114,7 @@
             "store_failing_ms": elapsed_ms(now_ms, fleet_view.failing_since_ms),
         },
         "routers": sorted(fleet_view.routers),
+        "evacuated": sorted(fleet_view.evacuated),
         "retries_left": {
             service: round(budget.left, 1) for service, budget in router.budgets.items()
         },
@@ -126,6 +135,8 @@
         "service": endpoint.service,
         "address": endpoint.address,
         "leaving": is_leaving(router.fleet_view, endpoint),
+        "evacuated": endpoint.data_centre in router.fleet_view.evacuated,
+        "cold_per_s": cold_rate_per_s(router.fleet_view, endpoint),
         "lapsed": name in router.fleet_view.lapsed,
         "held_off": is_backing_off(router.loads, name),
         "closed_ms": closed_left_ms(router.loads, name),
--- a/packages/direct/src/pulley_direct/endpoints/departures.py
+++ b/packages/direct/src/pulley_direct/endpoints/departures.py
@@ -32,7 +32,7 @@
     return [
         endpoint
         for endpoint in fleet_view.endpoints.values()
-        if endpoint.service == service and not is_leaving(fleet_view, endpoint)
+        if endpoint.service == service and not is_withheld(fleet_view, endpoint)
     ]
 
 
@@ -40,7 +40,14 @@
     """Check whether an endpoint that was chosen before may still get new work."""
     drop_lapsed(fleet_view)
     listed = endpoint.name in fleet_view.endpoints
-    return listed and not is_leaving(fleet_view, endpoint)
+    return listed and not is_withheld(fleet_view, endpoint)
+
+
+def is_withheld(fleet_view: FleetView, endpoint: Endpoint) -> bool:
+    """Check whether an endpoint gets no new work: it leaves, or is evacuated."""
+    if endpoint.data_centre in fleet_view.evacuated:
+        return True
+    return is_leaving(fleet_view, endpoint)
 
 
 def drop_lapsed(fleet_view: FleetView) -> None:
@@ -141,6 +148,7 @@
 ) -> list[Place]:
     """Return a service's ``usable`` and recently departed endpoints for ranking."""
     departed = [one for one in recently_departed(fleet_view) if one.service == service]
+    departed += list_evacuated(fleet_view, service)
     started = [one.started_ms for one in usable + departed if one.started_ms]
     joined_after_ms = max(
         min(started, default=0) + INITIAL_START_MS,
@@ -156,6 +164,20 @@
     return places
 
 
+def list_evacuated(fleet_view: FleetView, service: str) -> list[Endpoint]:
+    """Return a service's endpoints in evacuated data centres that do not leave.
+
+    They keep their rank, so that prompts come home when they take work again.
+    """
+    return [
+        one
+        for one in fleet_view.endpoints.values()
+        if one.service == service
+        and one.data_centre in fleet_view.evacuated
+        and one.name not in fleet_view.departed
+    ]
+
+
 def recently_departed(fleet_view: FleetView) -> list[Endpoint]:
     """Return the endpoints that left recently, and drop the older ones."""
     oldest_ms = fleet_view.clock.now_ms() - RECENT_CHANGE_MS
--- a/packages/direct/src/pulley_direct/endpoints/limits.py
+++ b/packages/direct/src/pulley_direct/endpoints/limits.py
@@ -1,4 +1,4 @@
-"""Rates that endpoints name in their answers, for all routers together.
+"""Rates that endpoints name in their answers or take while cold, from all routers.
 
 Each router keeps to its own part of such a rate, see ``pulley_policy.rate_shares``.
 """
@@ -23,6 +23,7 @@
 from ..state.models import Endpoint
 from ..state.routers import Router
 from .budgets import count_routers
+from .cold_starts import cold_rate_per_s
 
 logger = logging.getLogger(__name__)
 
@@ -140,28 +141,49 @@
     log_event(logger, "endpoint_limit_ended", endpoint=endpoint.name)
 
 
+def cold_limit(router: Router, endpoint: Endpoint) -> RateLimit | None:
+    """Return the limit of an endpoint that is cold, None if it is not."""
+    rate_per_s = cold_rate_per_s(router.fleet_view, endpoint)
+    state = router.loads.states.get(endpoint.name)
+    if rate_per_s is None:
+        if state is not None:
+            state.cold_limit = None
+        return None
+    state = get_state(router.loads, endpoint.name)
+    limit = state.cold_limit
+    if limit is None or limit.rate_per_s != rate_per_s:
+        limit = state.cold_limit = RateLimit(rate_per_s, endpoint.started_ms)
+        update_share(router, endpoint, limit)
+    return limit
+
+
+def list_limits(router: Router, endpoint: Endpoint) -> list[RateLimit]:
+    """Return the limits that hold for an endpoint: its own, and that of a cold one."""
+    limits = current_limit(router, endpoint), cold_limit(router, endpoint)
+    return [limit for limit in limits if limit is not None]
+
+
 def limit_left_ms(router: Router, endpoint: Endpoint) -> float:
     """Return when this router may send to an endpoint, in ms from now; 0 if at once."""
-    limit = current_limit(router, endpoint)
-    if limit is None:
-        return 0.0
     now_ms = router.clock.now_ms()
-    if now_ms - limit.shared_ms >= SHARE_INTERVAL_MS:
-        update_share(router, endpoint, limit)
-    return sends_in_ms(limit.allowance, now_ms)
+    left_ms = 0.0
+    for limit in list_limits(router, endpoint):
+        if now_ms - limit.shared_ms >= SHARE_INTERVAL_MS:
+            update_share(router, endpoint, limit)
+        left_ms = max(left_ms, sends_in_ms(limit.allowance, now_ms))
+    return left_ms
 
 
 def fleet_left_ms(router: Router, endpoint: Endpoint) -> float:
     """Return when some router may send to an endpoint, in ms from now; 0 if at once."""
     left_ms = limit_left_ms(router, endpoint)
-    limit = current_limit(router, endpoint)
-    if limit is None or not limit.rate_per_s:
+    rates = [limit.rate_per_s for limit in list_limits(router, endpoint)]
+    if not rates or not min(rates):
         return left_ms
-    return min(left_ms, MS_PER_S / limit.rate_per_s)
+    return min(left_ms, MS_PER_S / min(rates))
 
 
 def count_request(router: Router, endpoint: Endpoint) -> None:
     """Count a request that is about to be sent against its endpoint's limit."""
-    limit = current_limit(router, endpoint)
-    if limit is not None:
+    for limit in list_limits(router, endpoint):
         take_request(limit.allowance, router.clock.now_ms())
--- a/packages/direct/src/pulley_direct/endpoints/placing.py
+++ b/packages/direct/src/pulley_direct/endpoints/placing.py
@@ -98,8 +98,10 @@
     """
     view = view_service(router.fleet_view, job.service)
     excluded = view.endpoints.keys() & job.excluded
+    excluded |= list_outside(router, job, view)
     avoided, loads = set(), {}
-    for name in view.endpoints.keys() & router.loads.states.keys():
+    known = router.loads.states.keys() | router.fleet_view.cold_until_ms.keys()
+    for name in view.endpoints.keys() & known:
         if not is_open(router, view.endpoints[name]):
             excluded.add(name)
             continue
@@ -111,6 +113,23 @@
     return Candidates(view, excluded, loads)
 
 
+def list_outside(router: Router, job: Job, view: ServiceView) -> set[str]:
+    """Return the endpoints outside the regions that the route and the team allow."""
+    allowed = [job.route.regions]
+    if job.team is not None:
+        allowed.append(job.team.regions)
+    allowed = [regions for regions in allowed if regions]
+    if not allowed:
+        return set()
+    within = frozenset.intersection(*allowed)
+    regions = router.settings.regions
+    return {
+        one.name
+        for one in view.endpoints.values()
+        if regions.get(one.data_centre) not in within
+    }
+
+
 def measure_candidates(router: Router, candidates: Candidates) -> Spread:
     """Measure the load of all candidates."""
     view, excluded = candidates.view, candidates.excluded
@@ -216,6 +235,8 @@
         endpoint = router.fleet_view.endpoints.get(name)
         if endpoint is None or is_closed(router.loads, name):
             continue
+        if endpoint.data_centre in router.fleet_view.evacuated:
+            continue
         if not is_backing_off(router.loads, name):
             return endpoint.address
     return None
--- a/packages/direct/src/pulley_direct/state/fleet_views.py
+++ b/packages/direct/src/pulley_direct/state/fleet_views.py
@@ -94,7 +94,9 @@
     while the store does not answer, ``outage_end_ms`` after its last outage.
     ``n_restores`` counts how often the store was seen to be restored from a copy, the
     last time at ``restored_ms``; ``restored`` is notified then. ``has_doubts`` is set
-    while an entry of the copy is not believed. ``n_changes`` counts the changes of
+    while an entry of the copy is not believed. ``evacuated`` holds the data centres
+    whose endpoints take no new work, ``cold_until_ms`` until which clock reading an
+    endpoint counts as cold. ``n_changes`` counts the changes of
     endpoints, ``services`` holds what was derived from them for each service.
     ``mirror`` is the copy of the store that a router which watches it keeps for its
     followers, None while it does not; ``watcher`` is the router that it follows
@@ -127,6 +129,8 @@
     restored_ms: int | None = None
     restored: Signal = field(default_factory=Signal)
     has_doubts: bool = False
+    evacuated: set[str] = field(default_factory=set)
+    cold_until_ms: dict[str, int] = field(default_factory=dict)
     n_changes: int = 0
     services: dict[str, ServiceView] = field(default_factory=dict)
     mirror: Mirror | None = None
--- a/packages/direct/src/pulley_direct/state/loads.py
+++ b/packages/direct/src/pulley_direct/state/loads.py
@@ -59,7 +59,8 @@
     ``record`` counts its good and bad outcomes; until ``ejected_until_ms`` the
     endpoint gets no work because it serves far worse than the others. Until
     ``closed_until_ms`` it gets none because it asked for a pause, also if no other
-    endpoint is left. ``limit`` is the rate that it has named, None without one. Other
+    endpoint is left. ``limit`` is the rate that it has named, ``cold_limit`` the one
+    that holds while it is cold, None without one. Other
     routers are not told of its load again before ``tell_after_ms``.
     """
 
@@ -73,6 +74,7 @@
     ejected_until_ms: int = 0
     closed_until_ms: int = 0
     limit: RateLimit | None = None
+    cold_limit: RateLimit | None = None
     tell_after_ms: int = 0
 
 
--- a/packages/direct/src/pulley_direct/state/models.py
+++ b/packages/direct/src/pulley_direct/state/models.py
@@ -34,7 +34,8 @@
     ``timeout_ms`` is the longest time that a request may take. ``target_ms`` is
     the time within which an answer should begin, 0 if none is set.
     ``max_attempts`` counts the first attempt too. A stream that is ``resumable``
-    may be continued at another endpoint; a ``public`` route needs no token.
+    may be continued at another endpoint; a ``public`` route needs no token. ``regions``
+    are those whose endpoints may serve it, all if there are none.
     """
 
     name: str
@@ -48,6 +49,7 @@
     priority: int = 0
     public: bool = False
     resumable: bool = False
+    regions: frozenset[str] = frozenset()
 
     @property
     def retryable(self) -> bool:
@@ -62,19 +64,28 @@
     """A group of endpoints that serve the same requests.
 
     ``max_connections`` is the most connections that each endpoint accepts from
-    all routers together, 0 if there is no limit.
+    all routers together, 0 if there is no limit. ``cold_rate_per_s`` is the most
+    requests a second that one takes from all of them while it is cold, 0 if there is no
+    limit; ``cold_start_ms`` is how long it stays cold after it starts.
     """
 
     name: str
     max_connections: int
+    cold_rate_per_s: float = 0.0
+    cold_start_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Team:
-    """A team; its ``priority``, if set, replaces that of the route."""
+    """A team; its ``priority``, if set, replaces that of the route.
+
+    ``regions`` are those whose endpoints may serve it, all if there are none; those of
+    the route hold as well.
+    """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +106,8 @@
 
     A restarted endpoint has a new name, or its former name and a later start:
     ``started_ms`` is the Unix time of its start in ms, 0 if unknown. ``revision`` is
-    the store's number of the entry's last change, 0 if unknown.
+    the store's number of the entry's last change, 0 if unknown. ``cold_left_ms`` is for
+    how long it was cold when the entry was written.
     """
 
     name: str
@@ -105,6 +117,8 @@
     draining: bool = False
     started_ms: int = 0
     revision: int = 0
+    data_centre: str = ""
+    cold_left_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +153,20 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationStarted:
+    """An operator wants no new work for the endpoints of a data centre."""
+
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationEnded:
+    """The endpoints of a data centre take work again."""
+
+    data_centre: str
+
+
 @dataclass(frozen=True, slots=True)
 class CrashReports:
     """The requests that one router lost in crashes, and the keys that it cleared.
@@ -157,6 +185,8 @@
     | EndpointRemoved
     | RouterEntry
     | RouterRemoved
+    | EvacuationStarted
+    | EvacuationEnded
     | CrashReports
 )
 
@@ -294,7 +324,8 @@
 class RouterSettings:
     """Settings that a router gets at its start.
 
-    ``metrics_port`` is 0 if there is no listener for operators.
+    ``metrics_port`` is 0 if there is no listener for operators; ``regions`` tells the
+    region of each data centre.
     """
 
     instance: str
@@ -308,3 +339,4 @@
     limits: ProcessLimits = field(default_factory=ProcessLimits)
     store_min_ttl_ms: int = 1_000
     metrics_port: int = 0
+    regions: Mapping[str, str] = field(default_factory=dict)
--- a/packages/direct/src/pulley_direct/store/beliefs.py
+++ b/packages/direct/src/pulley_direct/store/beliefs.py
@@ -1,10 +1,11 @@
 """The store's words, applied to what a router knows of the fleet."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from pulley_base import log_event, warn_event
 
+from ..endpoints.evacuations import end_evacuation, start_evacuation
 from ..state.crash_log import apply_reports, share_again
 from ..state.fleet_views import (
     FleetView,
@@ -15,6 +16,8 @@
     CrashReports,
     Endpoint,
     EndpointRemoved,
+    EvacuationEnded,
+    EvacuationStarted,
     RouterEntry,
     RouterRemoved,
     StoreEntry,
@@ -92,11 +95,26 @@
     """
     entries = list(entries)
     fleet_view.has_doubts = False
-    listed = {entry.name for entry in entries if isinstance(entry, Endpoint)}
     routers = {entry.name for entry in entries if isinstance(entry, RouterEntry)}
+    missing = [RouterRemoved(name) for name in fleet_view.routers.keys() - routers]
+    apply_entries(fleet_view, missing)
+    replace_endpoints(fleet_view, entries, revision)
+
+
+def replace_endpoints(
+    fleet_view: FleetView, entries: Sequence[StoreEntry], revision: int
+) -> None:
+    """Apply entries, and remove the endpoints and evacuations that are not among them.
+
+    ``revision`` is the store's at the time of the read.
+    """
+    listed = {entry.name for entry in entries if isinstance(entry, Endpoint)}
     unlisted = fleet_view.endpoints.keys() - listed
     missing = [EndpointRemoved(name, revision) for name in unlisted]
-    missing += [RouterRemoved(name) for name in fleet_view.routers.keys() - routers]
+    evacuated = {
+        entry.data_centre for entry in entries if isinstance(entry, EvacuationStarted)
+    }
+    missing += [EvacuationEnded(name) for name in fleet_view.evacuated - evacuated]
     apply_entries(fleet_view, [*entries, *missing])
 
 
@@ -118,6 +136,10 @@
         list_router(fleet_view, entry)
     elif isinstance(entry, RouterRemoved):
         remove_router(fleet_view, entry.name)
+    elif isinstance(entry, EvacuationStarted):
+        start_evacuation(fleet_view, entry.data_centre)
+    elif isinstance(entry, EvacuationEnded):
+        end_evacuation(fleet_view, entry.data_centre)
     elif isinstance(entry, CrashReports):
         apply_reports(fleet_view.crash_log, entry, fleet_view.clock.now_ms())
 
--- a/packages/direct/src/pulley_direct/store/endpoint_words.py
+++ b/packages/direct/src/pulley_direct/store/endpoint_words.py
@@ -4,6 +4,7 @@
 
 from pulley_base import log_event
 
+from ..endpoints.cold_starts import hear_of_cold
 from ..endpoints.departures import (
     drop_endpoint,
     is_doubtful,
@@ -67,6 +68,7 @@
     if not is_newest_word(fleet_view, endpoint.name, endpoint.revision):
         return
     known = fleet_view.endpoints.get(endpoint.name)
+    hear_of_cold(fleet_view, endpoint, known)
     fleet_view.n_changes += 1
     fleet_view.endpoints[endpoint.name] = endpoint
     fleet_view.lapsed.pop(endpoint.name, None)
--- a/packages/direct/src/pulley_direct/store/followers.py
+++ b/packages/direct/src/pulley_direct/store/followers.py
@@ -18,6 +18,7 @@
     record_store_success,
     replace_entries,
 )
+from .endpoint_guards import guard_endpoints
 from .positions import (
     Follower,
     Watchers,
@@ -71,12 +72,17 @@
         clock,
         derive_times(in_force_ms),
         int(in_force_ms * BATCH_DELAY_SHARE),
+        in_force_ms,
         watchers,
     )
-    while True:
-        delay_ms = await take_turn(follower)
-        if delay_ms:
-            await asyncio.sleep(to_seconds(delay_ms))
+    guard = asyncio.create_task(guard_endpoints(follower))
+    try:
+        while True:
+            delay_ms = await take_turn(follower)
+            if delay_ms:
+                await asyncio.sleep(to_seconds(delay_ms))
+    finally:
+        guard.cancel()
 
 
 async def take_turn(follower: Follower) -> float:
--- a/packages/direct/src/pulley_direct/store/positions.py
+++ b/packages/direct/src/pulley_direct/store/positions.py
@@ -54,6 +54,8 @@
 class Follower:
     """What following the store needs: its calls, the beliefs, the position and times.
 
+    ``in_force_ms`` is the time within which a change must be in force.
+
     ``watchers`` are the routers that may be asked instead, None for a router that asks
     none.
     """
@@ -63,6 +65,7 @@
     clock: Clock
     times: FollowTimes
     batch_delay_ms: int
+    in_force_ms: int
     watchers: Watchers | None = None
     progress: WatchProgress = field(default_factory=WatchProgress)
 
--- a/packages/direct/src/pulley_direct/store/store_calls.py
+++ b/packages/direct/src/pulley_direct/store/store_calls.py
@@ -50,7 +50,8 @@
 class StoreClient:
     """The calls to the store, each limited in time.
 
-    ``read_all`` sends one call per page. All raise StoreCallRefused for a status other
+    ``read_all`` sends one call per page, ``read_endpoints`` reads the endpoints and the
+    evacuations alone. All raise StoreCallRefused for a status other
     than 2xx, unless stated otherwise, ConnectionLost or TimedOut if no answer came, and
     ProtocolError for an answer that can't be decoded.
     ``watch`` takes a revision and the time to wait in ms, and returns HISTORY_LOST if
@@ -64,6 +65,7 @@
     """
 
     read_all: Callable[[], Awaitable[Changes]]
+    read_endpoints: Callable[[], Awaitable[Changes]]
     watch: Callable[[int, int], Awaitable[Changes | Sentinel]]
     grant_lease: Callable[[int], Awaitable[LeaseGranted]]
     renew_lease: Callable[[int], Awaitable[bool]]
--- a/tests/adapter/steps/slices.py
+++ b/tests/adapter/steps/slices.py
@@ -43,7 +43,7 @@
     noting = asyncio.create_task(note_turns(turns))
     await asyncio.sleep(0)
     started = perf_counter()
-    changes = await stores.read_all_entries(store)
+    changes = await stores.read_entries(store, stores.ALL_KEYS_PREFIX)
     ended = perf_counter()
     await asyncio.sleep(0)
     noting.cancel()
--- a/tests/direct/steps/restored_store.py
+++ b/tests/direct/steps/restored_store.py
@@ -312,7 +312,7 @@
     store = stores.Store("127.0.0.1:1", Client())
     with patch.object(stores, "call_store", AsyncMock(side_effect=answers)):
         try:
-            asyncio.run(stores.read_all_entries(store))
+            asyncio.run(stores.read_entries(store, stores.ALL_KEYS_PREFIX))
             context.error = None
         except ProtocolError as error:
             context.error = error
--- a/tests/following/machines/fleets.py
+++ b/tests/following/machines/fleets.py
@@ -23,7 +23,12 @@
 from pulley_direct.requests.trust import TOKEN_AGE_SHARE
 from pulley_direct.state.fleet_views import FleetView, configuration_age_ms
 from pulley_direct.state.mirrors import StoredItem
-from pulley_direct.state.models import Configuration, RouterEntry, RouterRemoved
+from pulley_direct.state.models import (
+    Configuration,
+    Endpoint,
+    RouterEntry,
+    RouterRemoved,
+)
 from pulley_direct.store.followers import follow_store
 from pulley_direct.store.positions import Watchers
 from pulley_direct.store.store_calls import HISTORY_LOST, Changes, StoreClient
@@ -165,6 +170,11 @@
         await travel(fleet)
         return Changes(changes.entries, changes.revision, changes.era, items)
 
+    async def read_endpoints():
+        found = await read_all()
+        entries = [one for one in found.entries if isinstance(one, Endpoint)]
+        return Changes(tuple(entries), found.revision, found.era)
+
     async def read_revision():
         await reach_store(fleet, name)
         found = Changes((), store.revision, store.era)
@@ -188,7 +198,16 @@
         return Changes(entries, *found, tuple(items))
 
     return StoreClient(
-        read_all, watch, None, None, None, None, read_revision, decode_items, None
+        read_all=read_all,
+        read_endpoints=read_endpoints,
+        watch=watch,
+        grant_lease=None,
+        renew_lease=None,
+        announce=None,
+        report_crashes=None,
+        read_revision=read_revision,
+        decode=decode_items,
+        move=None,
     )
 
 
