Estimate loads from reports of all routers, and the rest from the mean

Cause: of 46 routers each sees a few requests a second, and took every endpoint that it had not heard of for idle. The mean, and with it the bound on a prompt's home, came out far too low (2 to 4 where endpoints reported 6 to 12), so prompts left their homes for nothing; plain services were chosen at random. Change: reported loads are told to twelve routers, 1.5 a second from each, beside those over the bound; what a report no longer tells is taken as at the other endpoints. Short requests go to the better of two endpoints, by load and by how long work takes there. Routers keep to 0.7 of the bound on loads, as their own view is late. Streams log their longest pause as they end.

--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -14,7 +14,7 @@
 from .requests.trust import has_fresh_tokens, is_ready
 from .state.counters import render_metrics
 from .state.fleet_views import configuration_age_ms
-from .state.loads import closed_left_ms, estimate_load, is_backing_off, is_closed
+from .state.loads import closed_left_ms, find_sighting, is_backing_off, is_closed
 from .state.routers import Router
 
 METRICS_PATH = "/metrics"
@@ -141,7 +141,8 @@
         "held_off": is_backing_off(router.loads, name),
         "closed_ms": closed_left_ms(router.loads, name),
         "limit_per_s": None if limit is None else limit.rate_per_s,
-        "load": round(estimate_load(router.loads, name), 1),
+        "load": round(find_sighting(router.loads, name).n_requests, 1),
+        "duration_percent": None if state is None else state.duration_percent,
         "in_flight": 0 if state is None else state.in_flight,
         "reported_ms_ago": None if state is None else now_ms - state.reported_ms,
     }
--- a/packages/direct/src/pulley_direct/endpoints/placing.py
+++ b/packages/direct/src/pulley_direct/endpoints/placing.py
@@ -3,13 +3,19 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from itertools import chain
-from random import choice, random
+from random import random, sample
 
+from pulley_policy.estimates import (
+    Sighting,
+    estimate_duration,
+    estimate_load,
+    estimate_mean,
+)
 from pulley_policy.homes import Ranking, find_sources
 from pulley_policy.spreads import (
     Option,
     Spread,
-    choose_idle,
+    choose_of_two,
     choose_warm,
     load_bound,
     spread_totals,
@@ -18,7 +24,7 @@
 from ..state.fleet_views import ServiceView
 from ..state.jobs import Job, Placement
 from ..state.loads import (
-    estimate_load,
+    find_sighting,
     is_backing_off,
     is_closed,
     is_eligible,
@@ -31,6 +37,9 @@
 
 # The longest key, in bytes, that blake2b accepts; longer digests are truncated.
 MAX_DIGEST_BYTES = 64
+# Routers keep to this part of the bound on loads: what others send meanwhile is heard of
+# late.
+BOUND_SHARE = 0.7
 # A prompt is placed by its last part but one, which is the first part if there are two.
 MIN_PARTS_FOR_SOURCE = 3
 
@@ -52,12 +61,14 @@
 class Candidates:
     """The endpoints that a job may be sent to: those of ``view`` but ``excluded``.
 
-    ``loads`` are the estimated requests at those that this router knows more of.
+    ``sightings`` are those of endpoints that this router knows more of, ``mean`` is the
+    load that it assumes of the others.
     """
 
     view: ServiceView
     excluded: set[str]
-    loads: dict[str, float]
+    sightings: dict[str, Sighting]
+    mean: float
 
     @property
     def n_left(self) -> int:
@@ -99,18 +110,19 @@
     view = view_service(router.fleet_view, job.service)
     excluded = view.endpoints.keys() & job.excluded
     excluded |= list_outside(router, job, view)
-    avoided, loads = set(), {}
+    avoided, sightings = set(), {}
     known = router.loads.states.keys() | router.fleet_view.cold_until_ms.keys()
     for name in view.endpoints.keys() & known:
         if not is_open(router, view.endpoints[name]):
             excluded.add(name)
             continue
-        loads[name] = estimate_load(router.loads, name)
+        sightings[name] = find_sighting(router.loads, name)
         if not is_eligible(router.loads, name):
             avoided.add(name)
     if len(excluded | avoided) < len(view.endpoints):
         excluded |= avoided
-    return Candidates(view, excluded, loads)
+    mean = estimate_mean(sightings.values())
+    return Candidates(view, excluded, sightings, mean)
 
 
 def list_outside(router: Router, job: Job, view: ServiceView) -> set[str]:
@@ -133,28 +145,29 @@
 def measure_candidates(router: Router, candidates: Candidates) -> Spread:
     """Measure the load of all candidates."""
     view, excluded = candidates.view, candidates.excluded
-    total_load = sum(
-        load for name, load in candidates.loads.items() if name not in excluded
-    )
+    known = [
+        estimate_load(sighting, candidates.mean)
+        for name, sighting in candidates.sightings.items()
+        if name not in excluded
+    ]
+    total_load = sum(known) + (candidates.n_left - len(known)) * candidates.mean
     excluded_share = sum(share_of(view.endpoints[name]) for name in excluded)
     return spread_totals(
         total_load,
         view.total_share - excluded_share,
         candidates.n_left,
-        router.settings.bounds.load_factor,
+        router.settings.bounds.load_factor * BOUND_SHARE,
     )
 
 
 def choose_least_loaded(candidates: Candidates) -> str:
-    """Return the candidate with the least load for its share, any of equal ones."""
-    view, excluded, loads = candidates.view, candidates.excluded, candidates.loads
-    idle = [
-        name for name in view.endpoints if name not in excluded and not loads.get(name)
-    ]
-    if idle:
-        return choice(idle)
-    options = [make_option(candidates, name) for name in loads if name not in excluded]
-    return choose_idle(options, random).name
+    """Return the better one of two candidates at random."""
+    view, excluded = candidates.view, candidates.excluded
+    names = [name for name in view.endpoints if name not in excluded]
+    if len(names) > 2:
+        names = sample(names, 2)
+    options = [make_option(candidates, name) for name in names]
+    return choose_of_two(options, random).name
 
 
 def choose_prompt_target(
@@ -199,7 +212,7 @@
         return ordered
     limited = {
         name
-        for name in candidates.loads
+        for name in candidates.sightings
         if name not in excluded and current_limit(router, endpoints[name])
     }
     if not limited:
@@ -245,7 +258,11 @@
 def make_option(candidates: Candidates, name: str) -> Option:
     """Return a candidate's load, and its share of the capacity."""
     share = share_of(candidates.view.endpoints[name])
-    return Option(name, candidates.loads.get(name, 0.0), share)
+    sighting = candidates.sightings.get(name)
+    if sighting is None:
+        return Option(name, candidates.mean, share)
+    load = estimate_load(sighting, candidates.mean)
+    return Option(name, load, share, estimate_duration(sighting))
 
 
 def shared_part_key(job: Job) -> bytes | None:
--- a/packages/direct/src/pulley_direct/gossip_receipts.py
+++ b/packages/direct/src/pulley_direct/gossip_receipts.py
@@ -90,7 +90,12 @@
     """Record what a message says; another start of an endpoint is not the one meant."""
     endpoint = router.fleet_view.endpoints[message.endpoint]
     if isinstance(message, LoadMessage):
-        record_load(router.loads, message.endpoint, message.n_requests)
+        record_load(
+            router.loads,
+            message.endpoint,
+            message.n_requests,
+            message.duration_percent,
+        )
     elif message.started_ms != endpoint.started_ms:
         return
     elif isinstance(message, LeavingMessage):
--- a/packages/direct/src/pulley_direct/peers/gossip.py
+++ b/packages/direct/src/pulley_direct/peers/gossip.py
@@ -20,6 +20,7 @@
 from ..state.routers import Router
 from .gossip_messages import (
     MAX_DATAGRAM_BYTES,
+    MAX_DURATION_PERCENT,
     MAX_RATE_PER_KS,
     LeavingMessage,
     LimitEndedMessage,
@@ -35,6 +36,9 @@
 MAX_RECEIVERS = 12
 # The load of a busy endpoint changes little in this time.
 TELL_INTERVAL_MS = 100
+# A few hundred bytes a second, whatever the size of the fleet.
+TELL_LOADS_PER_S = 1.5
+TELL_LOADS_BURST = 1.0
 # A rate that has changed by less is not told again.
 TOLD_RATE_TOLERANCE = 0.25
 TELL_LIMIT_INTERVAL_MS = 1_000
@@ -85,16 +89,36 @@
 
 
 def tell_load(router: Router, job: Job, endpoint: Endpoint) -> None:
-    """Tell some routers the load that an endpoint just reported, if over its bound."""
-    if router.gossip is None or job.reported is None:
+    """Tell some routers the load that an endpoint just reported.
+
+    One over its bound always, others as often as the budget for datagrams allows.
+    """
+    reported = job.reported
+    if router.gossip is None or reported is None:
         return
-    n_requests = job.reported.n_requests
     state = get_state(router.loads, endpoint.name)
     now_ms = router.clock.now_ms()
-    if now_ms < state.tell_after_ms or n_requests <= job.placement.bound:
+    if now_ms < state.tell_after_ms:
+        return
+    # Each one takes from the budget, so that none is left while many are over.
+    has_budget = take(load_bucket(router), now_ms)
+    if reported.n_requests <= job.placement.bound and not has_budget:
         return
     state.tell_after_ms = now_ms + TELL_INTERVAL_MS
-    send_message(router, LoadMessage(endpoint.name, n_requests))
+    percent = min(reported.duration_percent, MAX_DURATION_PERCENT)
+    send_message(router, LoadMessage(endpoint.name, reported.n_requests, percent))
+
+
+def load_bucket(router: Router) -> TokenBucket:
+    """Return the budget for telling loads that are within their bounds."""
+    if router.load_bucket is None:
+        router.load_bucket = TokenBucket(
+            TELL_LOADS_PER_S,
+            TELL_LOADS_BURST,
+            TELL_LOADS_BURST,
+            router.clock.now_ms(),
+        )
+    return router.load_bucket
 
 
 def tell_leaving(router: Router, endpoint: Endpoint) -> None:
--- a/packages/direct/src/pulley_direct/peers/gossip_messages.py
+++ b/packages/direct/src/pulley_direct/peers/gossip_messages.py
@@ -1,7 +1,7 @@
 """Messages between routers, each one a datagram of fields separated by spaces.
 
 >>> encode_message(LoadMessage("a", 7))
-b'load a 7'
+b'load a 7 100'
 >>> decode_message(b"limit a 1700000000000 4900")
 LimitMessage(endpoint='a', started_ms=1700000000000, rate_per_ks=4900)
 """
@@ -10,13 +10,15 @@
 
 from pulley_base import ProtocolError
 
-from ..state.models import CrashReports
+from ..state.models import USUAL_PERCENT, CrashReports
 from .crash_documents import decode_reports, encode_reports
 
 # Larger datagrams may be split on the way.
 MAX_DATAGRAM_BYTES = 1_200
 # Far more requests than any endpoint holds.
 MAX_LOAD = 1_000_000
+# An endpoint a thousand times slower than usual answers nothing in time.
+MAX_DURATION_PERCENT = 100_000
 # Unix time in ms, some thousand years ahead.
 MAX_TIME_MS = 10**14
 # More than any endpoint serves.
@@ -27,10 +29,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadMessage:
-    """An endpoint and the requests that it reported."""
+    """An endpoint, the requests that it reported, and how long work takes there.
+
+    The latter is a percentage of the usual.
+    """
 
     endpoint: str
     n_requests: int
+    duration_percent: int = USUAL_PERCENT
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +89,7 @@
 CRASHES_KIND = "crashes"
 MAX_VALUES = {
     "n_requests": MAX_LOAD,
+    "duration_percent": MAX_DURATION_PERCENT,
     "started_ms": MAX_TIME_MS,
     "rate_per_ks": MAX_RATE_PER_KS,
     "version": MAX_VERSION,
--- a/packages/direct/src/pulley_direct/requests/front.py
+++ b/packages/direct/src/pulley_direct/requests/front.py
@@ -249,6 +249,8 @@
         return {}
     return {
         "rank": placement.rank,
+        "tokens": sum(part.tokens for part in job.call.parts) or None,
+        "duration_percent": None if reported is None else reported.duration_percent,
         "load": round(placement.load, 1),
         "mean": round(placement.mean, 2),
         "reported": None if reported is None else reported.n_requests,
--- a/packages/direct/src/pulley_direct/requests/streams.py
+++ b/packages/direct/src/pulley_direct/requests/streams.py
@@ -42,6 +42,8 @@
         self.resume = resume
         self.buffer = EventBuffer(last_id=job.call.last_event_id)
         self.first_events = b""
+        self.events_ms = router.clock.now_ms()
+        self.longest_pause_ms = 0
 
     def __aiter__(self):
         return self
@@ -55,8 +57,15 @@
             if chunk is None:
                 raise StopAsyncIteration
             if chunk:
+                self.note_pause()
                 return chunk
 
+    def note_pause(self) -> None:
+        """Note how long the caller has waited for these events."""
+        now_ms = self.router.clock.now_ms()
+        self.longest_pause_ms = max(self.longest_pause_ms, now_ms - self.events_ms)
+        self.events_ms = now_ms
+
     async def read_events(self) -> bytes | None:
         """Return the whole events that are available, None at the stream's end.
 
@@ -147,6 +156,14 @@
         """End the exchange, whether or not it is complete, and any other attempt."""
         stop_other(self.job)
         if self.exchange is not None:
+            log_event(
+                logger,
+                "stream_ended",
+                request=self.job.call.request_id,
+                endpoint=self.exchange.endpoint.name,
+                complete=self.exchange.finished,
+                longest_pause_ms=self.longest_pause_ms,
+            )
             if self.exchange.finished:
                 record_success(self.router.loads, self.exchange.endpoint.name)
             end_exchange(self.exchange)
--- a/packages/direct/src/pulley_direct/state/loads.py
+++ b/packages/direct/src/pulley_direct/state/loads.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from pulley_base import Clock
+from pulley_policy.estimates import Sighting
 from pulley_policy.health import (
     EJECTION_MS,
     Record,
@@ -14,17 +15,16 @@
 from pulley_policy.rate_shares import Allowance
 from pulley_policy.retries import double_ms
 
-from .models import ReportedLoad
+from .models import USUAL_PERCENT, ReportedLoad
 
-# A report counts less as it ages, and nothing after this time: by then its endpoint
-# has had time to finish most of the requests.
-REPORT_DECAY_MS = 3_000
 # A single failure takes an endpoint out only briefly; one that stays down is tried
 # every few seconds.
 BACKOFF_INITIAL_MS = 250
 BACKOFF_MAX_MS = 4_000
 # An endpoint that asks for a longer pause is tried after this time.
 MAX_CLOSED_MS = 3_600_000
+# The clock reading of a report that has not been heard yet.
+NEVER_MS = -1_000_000
 # The limit of an endpoint that is not listed is kept for this long.
 LIMIT_MEMORY_MS = 60_000
 
@@ -53,7 +53,8 @@
     """One endpoint's state as this router sees it.
 
     ``in_flight`` counts this router's own requests, ``other_requests`` those that
-    the endpoint reported beyond them at ``reported_ms``. Until
+    the endpoint reported beyond them at ``reported_ms``, with ``duration_percent``, how
+    long work takes there. Until
     ``backoff_until_ms`` the endpoint gets no work unless no other endpoint is
     left. ``unreachable`` says that the last attempt to connect to it failed.
     ``record`` counts its good and bad outcomes; until ``ejected_until_ms`` the
@@ -66,7 +67,8 @@
 
     in_flight: int = 0
     other_requests: float = 0.0
-    reported_ms: int = 0
+    reported_ms: int = NEVER_MS
+    duration_percent: int = USUAL_PERCENT
     n_failures: int = 0
     backoff_until_ms: int = 0
     unreachable: bool = False
@@ -92,27 +94,37 @@
     return table.states.setdefault(name, EndpointState())
 
 
-def estimate_load(table: LoadTable, name: str) -> float:
-    """Estimate how many requests an endpoint holds now; 0 if it is unknown."""
-    state = table.states.get(name)
-    if state is None:
-        return 0.0
-    age_ms = table.clock.now_ms() - state.reported_ms
-    weight = max(0.0, 1.0 - age_ms / REPORT_DECAY_MS)
-    return state.in_flight + state.other_requests * weight
+def find_sighting(table: LoadTable, name: str) -> Sighting:
+    """Return what is known of an endpoint's load."""
+    state = get_state(table, name)
+    return Sighting(
+        state.in_flight + state.other_requests,
+        state.in_flight,
+        table.clock.now_ms() - state.reported_ms,
+        state.duration_percent,
+    )
 
 
 def record_report(table: LoadTable, name: str, report: ReportedLoad | None) -> None:
     """Record the load that an endpoint reported with an answer to this router."""
     if report is not None:
-        record_load(table, name, report.n_requests)
+        record_load(table, name, report.n_requests, report.duration_percent)
+
 
+def record_load(
+    table: LoadTable,
+    name: str,
+    n_requests: int,
+    duration_percent: int = USUAL_PERCENT,
+) -> None:
+    """Record how many requests an endpoint holds now, those of this router included.
 
-def record_load(table: LoadTable, name: str, n_requests: int) -> None:
-    """Record how many requests an endpoint holds now, those of this router included."""
+    ``duration_percent`` is how long work takes there, 100 as usual.
+    """
     state = get_state(table, name)
     state.other_requests = max(0.0, n_requests - state.in_flight)
     state.reported_ms = table.clock.now_ms()
+    state.duration_percent = duration_percent
 
 
 def record_success(table: LoadTable, name: str) -> None:
--- a/packages/direct/src/pulley_direct/state/routers.py
+++ b/packages/direct/src/pulley_direct/state/routers.py
@@ -32,8 +32,8 @@
     ``stops_at_ms`` is the clock reading at which the process is killed at the
     latest, None before SIGTERM. ``gossip`` is the socket for datagrams between
     routers, None without one; ``crash_bucket`` bounds those with crash reports, None
-    before the first; ``peer_key`` is the secret under which it answers other routers,
-    ``n_relayed`` how many of their requests it holds.
+    before the first, ``load_bucket`` those with loads; ``peer_key`` is the secret under
+    which it answers other routers, ``n_relayed`` how many of their requests it holds.
     ``probes`` holds the running crash probes by address,
     ``reporting`` the tasks that report the losses of requests that have ended.
     ``rooms`` is what the process may hold, ``account`` what its requests have reserved
@@ -56,6 +56,7 @@
     stops_at_ms: int | None = None
     gossip: asyncio.DatagramTransport | None = None
     crash_bucket: TokenBucket | None = None
+    load_bucket: TokenBucket | None = None
     n_relayed: int = 0
     unapplied_settings: list[str] = field(default_factory=list)
     peer_key: str = field(default_factory=draw_peer_key, repr=False)
--- a/packages/policy/src/pulley_policy/spreads.py
+++ b/packages/policy/src/pulley_policy/spreads.py
@@ -12,12 +12,14 @@
     """An endpoint that may be chosen.
 
     ``load`` is the router's estimate of the requests in flight there, ``share`` the
-    endpoint's part of the service's capacity relative to the others.
+    endpoint's part of the service's capacity relative to the others, ``duration`` how
+    long work takes there now, 1 for as long as usual.
     """
 
     name: str
     load: float
     share: float = 1.0
+    duration: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +88,26 @@
     return min(options, key=lambda option: (relative_load(option), draw()))
 
 
+def choose_of_two(
+    options: Sequence[Option], draw: Callable[[], float]
+) -> Option | None:
+    """Return the better one of two random endpoints, None without options.
+
+    That is the one at which one more request is done sooner. Routers that have heard
+    the same would all send to the best of all.
+    """
+    if len(options) < 2:
+        return options[0] if options else None
+    first = int(draw() * len(options))
+    second = (first + 1 + int(draw() * (len(options) - 1))) % len(options)
+    return min(options[first], options[second], key=expected_wait)
+
+
+def expected_wait(option: Option) -> float:
+    """Return when one more request is done, relative to that at other endpoints."""
+    return (option.load + 1.0) * option.duration / option.share
+
+
 def relative_load(option: Option) -> float:
     """Return the load relative to the endpoint's share of the capacity."""
     return option.load / option.share
--- a/tests/spreads/steps/choices.py
+++ b/tests/spreads/steps/choices.py
@@ -20,7 +20,7 @@
 from pulley_direct.state.loads import (
     LoadTable,
     close_endpoint,
-    estimate_load,
+    find_sighting,
     get_state,
     is_backing_off,
     is_closed,
@@ -31,6 +31,7 @@
 from pulley_direct.state.models import Endpoint, PromptPart, RouterSettings
 from pulley_direct.state.routers import Router
 from pulley_direct.store.endpoint_words import list_endpoint, remove_endpoint
+from pulley_policy.estimates import estimate_load, estimate_mean
 from pulley_policy.homes import order_places, order_sources
 from pulley_policy.spreads import Option, choose_warm, measure_spread
 
@@ -67,7 +68,10 @@
 def make_job(subject, excluded):
     parts = tuple(PromptPart(one, 10) for one in ("all", subject, "own"))
     call = SimpleNamespace(parts=parts)
-    return SimpleNamespace(service="model", excluded=excluded, call=call)
+    route = SimpleNamespace(regions=frozenset())
+    return SimpleNamespace(
+        service="model", excluded=excluded, call=call, route=route, team=None
+    )
 
 
 def change_fleet(random, router, reading, revision):
@@ -124,11 +128,19 @@
     if ordered[0] != ranked[0]:
         limited = {name for name in ordered if current_limit(router, by_name[name])}
         ordered.sort(key=lambda name: name not in limited)
+    sightings = {
+        name: find_sighting(loads, name) for name in open_names if name in loads.states
+    }
+    mean = estimate_mean(sightings.values())
     options = [
-        Option(name, estimate_load(loads, name), max(1, by_name[name].slots))
+        Option(
+            name,
+            estimate_load(sightings[name], mean) if name in sightings else mean,
+            max(1, by_name[name].slots),
+        )
         for name in ordered
     ]
-    factor = router.settings.bounds.load_factor
+    factor = router.settings.bounds.load_factor * placing.BOUND_SHARE
     chosen = choose_warm(options, measure_spread(options, factor)).name
     sources = order_sources(key, places, chosen)
     if not sources:
