Let prompts with short contexts leave busy homes sooner

Cause: long prompts hold up the streams beside them; with true means prompts stay at their homes, and short ones (700 tokens, read in 11 ms) waited there beside prompts of 10,000. Change: a prompt whose context is under 1,500 tokens goes to the first of three endpoints that is not over 1.25 times the mean; long ones stay as before.

--- a/packages/direct/src/pulley_direct/endpoints/placing.py
+++ b/packages/direct/src/pulley_direct/endpoints/placing.py
@@ -15,8 +15,8 @@
 from pulley_policy.spreads import (
     Option,
     Spread,
+    choose_home,
     choose_of_two,
-    choose_warm,
     load_bound,
     spread_totals,
 )
@@ -37,8 +37,8 @@
 
 # The longest key, in bytes, that blake2b accepts; longer digests are truncated.
 MAX_DIGEST_BYTES = 64
-# Routers keep to this part of the bound on loads: what others send meanwhile is heard of
-# late.
+# Routers keep to this part of the bound on loads: what others send meanwhile is heard
+# of late.
 BOUND_SHARE = 0.7
 # A prompt is placed by its last part but one, which is the first part if there are two.
 MIN_PARTS_FOR_SOURCE = 3
@@ -182,7 +182,8 @@
     """
     ranking = find_ranking(candidates.view, key)
     ordered = order_candidates(router, ranking, candidates)
-    option = choose_warm((make_option(candidates, name) for name in ordered), spread)
+    options = (make_option(candidates, name) for name in ordered)
+    option = choose_home(options, spread, context_tokens(job))
     sources = find_sources(ranking, option.name)
     first = next(sources, None)
     if first is None:
@@ -196,6 +197,11 @@
     )
 
 
+def context_tokens(job: Job) -> int:
+    """Return the size of what a prompt may share with others, in tokens."""
+    return sum(part.tokens for part in job.call.parts[:-1])
+
+
 def order_candidates(
     router: Router, ranking: Ranking, candidates: Candidates
 ) -> list[str]:
--- a/packages/policy/src/pulley_policy/spreads.py
+++ b/packages/policy/src/pulley_policy/spreads.py
@@ -2,9 +2,16 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from itertools import chain, islice
 
 # An idle service's mean is near zero, so every bound allows this many requests.
 BOUND_SLACK_REQUESTS = 2.0
+# A context of this size is read in less than a tenth of the shortest targets.
+SHORT_CONTEXT_TOKENS = 1_500
+# A home is busier than most with this multiple of the mean load.
+BUSY_FACTOR = 1.25
+# A short context is kept at this many endpoints beside its home.
+MAX_SHORT_RANK = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +85,27 @@
     return least
 
 
+def choose_home(
+    options: Iterable[Option], spread: Spread, context_tokens: int
+) -> Option | None:
+    """Return the first endpoint, in the order given, that a prompt should go to.
+
+    ``context_tokens`` is the size of what it may share with others. A short context is
+    read again in less time than its prompt waits beside long ones, at a home that is
+    busier than most: such a prompt leaves sooner, if one of the next
+    ``MAX_SHORT_RANK`` endpoints is less busy, and makes room for long ones.
+    """
+    options = iter(options)
+    first = []
+    if context_tokens < SHORT_CONTEXT_TOKENS:
+        first = list(islice(options, MAX_SHORT_RANK + 1))
+    most = spread.mean * BUSY_FACTOR + BOUND_SLACK_REQUESTS
+    for option in first:
+        if option.load <= most:
+            return option
+    return choose_warm(chain(first, options), spread)
+
+
 def choose_idle(options: Sequence[Option], draw: Callable[[], float]) -> Option | None:
     """Return the endpoint with the least load, a random one among equals.
 
--- a/tests/spreads/steps/choices.py
+++ b/tests/spreads/steps/choices.py
@@ -33,7 +33,7 @@
 from pulley_direct.store.endpoint_words import list_endpoint, remove_endpoint
 from pulley_policy.estimates import estimate_load, estimate_mean
 from pulley_policy.homes import order_places, order_sources
-from pulley_policy.spreads import Option, choose_warm, measure_spread
+from pulley_policy.spreads import Option, choose_home, measure_spread
 
 SERVICES = ("model", "other")
 N_ENDPOINTS = 24
@@ -141,7 +141,8 @@
         for name in ordered
     ]
     factor = router.settings.bounds.load_factor * placing.BOUND_SHARE
-    chosen = choose_warm(options, measure_spread(options, factor)).name
+    spread = measure_spread(options, factor)
+    chosen = choose_home(options, spread, placing.context_tokens(job)).name
     sources = order_sources(key, places, chosen)
     if not sources:
         first = placing.part_key(job.call.parts[0])
