--- /dev/null
+++ b/tests/decisions/loads.feature
@@ -0,0 +1,53 @@
+Feature: Where requests go under load
+
+  No scenario here opens a connection.
+
+  # Guards against prompts that leave their homes as endpoints that nobody has told of
+  # count as idle.
+  Scenario: Most endpoints' loads are not known
+    Given 20 endpoints, of which 4 reported loads of 8 requests
+    Then the mean load is 8 requests
+    And an endpoint that nobody has told of counts as holding 8 requests
+
+  # Guards against long prompts that hold up short ones on the same server.
+  Scenario: A home reads long prompts and is busier than most
+    Given a home with 8 requests and two other endpoints with 3 requests
+    Then a prompt with a context of 700 tokens goes to another endpoint
+    And a prompt with a context of 10500 tokens goes to its home
+
+  Scenario: All endpoints are equally busy
+    Given a home with 10 requests and two other endpoints with 10 requests
+    Then a prompt with a context of 700 tokens goes to its home
+    And a prompt with a context of 10500 tokens goes to its home
+
+  # Guards against many routers that send to the one endpoint that all have heard of.
+  Scenario: Many routers know the same loads of a plain service
+    Given 4 endpoints with 6 slots that hold 1, 4, 4 and 4 requests
+    When 400 routers choose at the same moment
+    Then no endpoint is chosen more than 240 times
+    And the least loaded one is chosen most often
+
+  # Guards against requests to endpoints whose machines are busy with others' work.
+  Scenario: One endpoint's machine takes 3 times as long as usual
+    Given 4 endpoints of which one takes 300 percent of the usual time
+    When 400 routers choose at the same moment
+    Then the slow one is never chosen beside a usual one
+
+  Scenario Outline: An endpoint reports its load as <text>
+    Then a load of <text> is read as <running>, <waiting>, <slots> and <percent>
+
+    Examples:
+      | text       | running | waiting | slots | percent |
+      | 3,1,8      | 3       | 1       | 8     | 100     |
+      | 3,1,8,140  | 3       | 1       | 8     | 140     |
+      | 3, 1, 8, x | 3       | 1       | 8     | 100     |
+      | 3,1,8,90,7 | 3       | 1       | 8     | 90      |
+
+  Scenario Outline: An endpoint reports something that is no load
+    Then a load of <text> is not read
+
+    Examples:
+      | text  |
+      | 3,1   |
+      | 3,x,8 |
+      | ?     |
