Explain where a request would go now: plantainpulley where

A running router answers /where on its port for operators: candidates in order, load, age and source of each, what withholds it, the bound, and what would be refused until when. Nothing is sent or counted by asking. Refused callers are told to come back at random times from 150 to 300 ms.

--- a/packages/direct/src/pulley_direct/admin.py
+++ b/packages/direct/src/pulley_direct/admin.py
@@ -11,6 +11,7 @@
 from .endpoints.cold_starts import cold_rate_per_s
 from .endpoints.departures import is_leaving
 from .endpoints.limits import current_limit
+from .explanations import explain_where
 from .requests.trust import has_fresh_tokens, is_ready
 from .state.counters import render_metrics
 from .state.fleet_views import configuration_age_ms
@@ -19,6 +20,7 @@
 
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
+WHERE_PATH = "/where"
 STORE_FOLLOWED = "the store"
 TEXT_TYPE = [(b"content-type", b"text/plain; version=0.0.4")]
 JSON_TYPE = [(b"content-type", b"application/json")]
@@ -33,6 +35,10 @@
     if request.path == METRICS_PATH:
         text = render_metrics(router.counters, read_gauges(router))
         return Response(200, list(TEXT_TYPE), text)
+    if request.path == WHERE_PATH:
+        query = request.target.partition("?")[2]
+        text = json.dumps(explain_where(router, query), indent=1).encode()
+        return Response(200, list(JSON_TYPE), text)
     if request.path == STATUS_PATH:
         status = json.dumps(describe_router(router), indent=1).encode()
         return Response(200, list(JSON_TYPE), status)
--- a/packages/direct/src/pulley_direct/requests/dispatch.py
+++ b/packages/direct/src/pulley_direct/requests/dispatch.py
@@ -2,6 +2,7 @@
 
 import logging
 from functools import partial
+from random import randint
 
 from pulley_base import Outcome, Reason, log_event
 from pulley_http import RequestRefused, Response, drop_hop_by_hop_headers
@@ -35,9 +36,9 @@
 
 logger = logging.getLogger(__name__)
 
-# A full endpoint has finished several short requests after this time, and callers
-# that wait a second can still retry within it.
-RETRY_AFTER_MS = 200
+# A full endpoint has finished several short requests within this time, and callers
+# that wait a second can still retry after it. Those refused together return apart.
+RETRY_AFTER_MS = (150, 300)
 FIRST_NON_SUCCESS_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
 # Timeout, too many requests, unavailable: what the router itself sends for a request
@@ -264,10 +265,11 @@
     reason: Reason,
     detail: str,
     *,
-    retry_after_ms: int = RETRY_AFTER_MS,
+    retry_after_ms: int | None = None,
 ) -> Response:
     """Return an endpoint's own error answer, or raise RequestRefused if there is none.
 
+    The caller is told to come back after ``retry_after_ms``, by default at random.
     The refusal's outcome is unknown if an endpoint may have run the request (504
     after the deadline, otherwise 502), and not-run if none can have (503).
     """
@@ -277,4 +279,6 @@
     if job.may_have_run:
         status = 504 if past_deadline else 502
         raise RequestRefused(status, reason, detail, outcome=Outcome.UNKNOWN)
+    if retry_after_ms is None:
+        retry_after_ms = randint(*RETRY_AFTER_MS)
     raise RequestRefused(503, reason, detail, retry_after_ms=retry_after_ms)
--- a/packages/router/src/pulley_router/cli.py
+++ b/packages/router/src/pulley_router/cli.py
@@ -8,6 +8,7 @@
 from .explain import explain
 from .operators import operator_commands
 from .settings import RouterSettings
+from .where import where
 
 
 def main() -> int:
@@ -20,6 +21,7 @@
         ),
         **operator_commands(),
         "explain": explain,
+        "where": where,
     }
     return run_command(commands, sys.argv[1:])
 
