Keep short contexts at two endpoints, read and not copied

Change: a short context stays at its home and the next endpoint, and is read rather than copied; endpoints are read alone after 0.65 of the bound; an idle endpoint counts beside those whose loads were told, as those over their bound are told first.

--- a/packages/direct/src/pulley_direct/endpoints/placing.py
+++ b/packages/direct/src/pulley_direct/endpoints/placing.py
@@ -17,6 +17,7 @@
     Spread,
     choose_home,
     choose_of_two,
+    is_short_context,
     load_bound,
     spread_totals,
 )
@@ -183,20 +184,31 @@
     ranking = find_ranking(candidates.view, key)
     ordered = order_candidates(router, ranking, candidates)
     options = (make_option(candidates, name) for name in ordered)
-    option = choose_home(options, spread, context_tokens(job))
-    sources = find_sources(ranking, option.name)
-    first = next(sources, None)
-    if first is None:
-        sources = find_first_part_holders(job, candidates.view, option.name)
-    else:
-        sources = chain([first], sources)
+    n_tokens = context_tokens(job)
+    option = choose_home(options, spread, n_tokens)
+    source = None
+    if not is_short_context(n_tokens):
+        source = find_context_source(router, job, ranking, candidates.view, option.name)
     return Target(
         candidates.view.endpoints[option.name],
         describe_placement(option, spread, rank=ordered.index(option.name)),
-        find_available_address(router, sources),
+        source,
     )
 
 
+def find_context_source(
+    router: Router, job: Job, ranking: Ranking, view: ServiceView, chosen: str
+) -> str | None:
+    """Return the address from which to copy a prompt's context, None without one."""
+    sources = find_sources(ranking, chosen)
+    first = next(sources, None)
+    if first is None:
+        sources = find_first_part_holders(job, view, chosen)
+    else:
+        sources = chain([first], sources)
+    return find_available_address(router, sources)
+
+
 def context_tokens(job: Job) -> int:
     """Return the size of what a prompt may share with others, in tokens."""
     return sum(part.tokens for part in job.call.parts[:-1])
--- a/packages/direct/src/pulley_direct/store/endpoint_guards.py
+++ b/packages/direct/src/pulley_direct/store/endpoint_guards.py
@@ -19,7 +19,7 @@
 
 # The part of the time within which a change must be in force after which the endpoints
 # are read by themselves. Enough is left for the read and for a request's way.
-MAX_AGE_SHARE = 0.5
+MAX_AGE_SHARE = 0.65
 # Routers that fall behind at the same moment read at different times.
 JITTER = 0.2
 MIN_WAIT_MS = 20
--- a/packages/http/src/pulley_http/servers.py
+++ b/packages/http/src/pulley_http/servers.py
@@ -106,9 +106,10 @@
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listening.bind((host, port))
-    except OSError:
+    except OSError as error:
         listening.close()
-        raise
+        detail = f"{host}:{port}: {(error.strerror or str(error)).lower()}"
+        raise OSError(error.errno, detail) from error
     return listening
 
 
--- a/packages/policy/src/pulley_policy/estimates.py
+++ b/packages/policy/src/pulley_policy/estimates.py
@@ -13,6 +13,8 @@
 # How long work takes at an endpoint that shares its machine changes faster than that.
 DURATION_DECAY_MS = 500
 USUAL_PERCENT = 100
+# What the one idle endpoint counts that is assumed beside those that were reported.
+IDLE_WEIGHT = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,15 +44,18 @@
 def estimate_mean(sightings: Iterable[Sighting]) -> float:
     """Return the mean load of endpoints whose loads were reported, 0 without reports.
 
+    Few reports say little of the others, and loads over their bounds are told first: so
+    one more endpoint counts, which is idle.
+
     >>> estimate_mean([Sighting(9.0, 0, 0), Sighting(3.0, 0, 1_500)])
-    7.0
+    4.2
     """
-    total = total_weight = 0.0
+    total, total_weight = 0.0, IDLE_WEIGHT
     for sighting in sightings:
         weight = report_weight(sighting.age_ms)
         total += weight * sighting.n_requests
         total_weight += weight
-    return total / total_weight if total_weight else 0.0
+    return total / total_weight
 
 
 def estimate_load(sighting: Sighting, mean: float) -> float:
--- a/packages/policy/src/pulley_policy/spreads.py
+++ b/packages/policy/src/pulley_policy/spreads.py
@@ -11,7 +11,7 @@
 # A home is busier than most with this multiple of the mean load.
 BUSY_FACTOR = 1.25
 # A short context is kept at this many endpoints beside its home.
-MAX_SHORT_RANK = 2
+MAX_SHORT_RANK = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +97,7 @@
     """
     options = iter(options)
     first = []
-    if context_tokens < SHORT_CONTEXT_TOKENS:
+    if is_short_context(context_tokens):
         first = list(islice(options, MAX_SHORT_RANK + 1))
     most = spread.mean * BUSY_FACTOR + BOUND_SLACK_REQUESTS
     for option in first:
@@ -106,6 +106,11 @@
     return choose_warm(chain(first, options), spread)
 
 
+def is_short_context(n_tokens: int) -> bool:
+    """Check whether a context is read again in as little time as it is copied."""
+    return n_tokens < SHORT_CONTEXT_TOKENS
+
+
 def choose_idle(options: Sequence[Option], draw: Callable[[], float]) -> Option | None:
     """Return the endpoint with the least load, a random one among equals.
 
