--- a/packages/direct/src/pulley_direct/endpoints/placing.py
+++ b/packages/direct/src/pulley_direct/endpoints/placing.py
@@ -63,13 +63,15 @@
     """The endpoints that a job may be sent to: those of ``view`` but ``excluded``.
 
     ``sightings`` are those of endpoints that this router knows more of, ``mean`` is the
-    load that it assumes of the others.
+    load that it assumes of the others. ``cold`` are those excluded ones that have had
+    their part of the rate of a cold endpoint.
     """
 
     view: ServiceView
     excluded: set[str]
     sightings: dict[str, Sighting]
     mean: float
+    cold: frozenset[str] = frozenset()
 
     @property
     def n_left(self) -> int:
@@ -111,11 +113,13 @@
     view = view_service(router.fleet_view, job.service)
     excluded = view.endpoints.keys() & job.excluded
     excluded |= list_outside(router, job, view)
-    avoided, sightings = set(), {}
+    avoided, cold, sightings = set(), set(), {}
     known = router.loads.states.keys() | router.fleet_view.cold_until_ms.keys()
     for name in view.endpoints.keys() & known:
         if not is_open(router, view.endpoints[name]):
             excluded.add(name)
+            if name in router.fleet_view.cold_until_ms:
+                cold.add(name)
             continue
         sightings[name] = find_sighting(router.loads, name)
         if not is_eligible(router.loads, name):
@@ -123,7 +127,7 @@
     if len(excluded | avoided) < len(view.endpoints):
         excluded |= avoided
     mean = estimate_mean(sightings.values())
-    return Candidates(view, excluded, sightings, mean)
+    return Candidates(view, excluded, sightings, mean, frozenset(cold))
 
 
 def list_outside(router: Router, job: Job, view: ServiceView) -> set[str]:
@@ -144,7 +148,11 @@
 
 
 def measure_candidates(router: Router, candidates: Candidates) -> Spread:
-    """Measure the load of all candidates."""
+    """Measure the load of all candidates.
+
+    Endpoints that are evacuated, or cold, count for the bound: they are part of the
+    service, and what the others may hold is a multiple of the mean of all.
+    """
     view, excluded = candidates.view, candidates.excluded
     known = [
         estimate_load(sighting, candidates.mean)
@@ -152,10 +160,12 @@
         if name not in excluded
     ]
     total_load = sum(known) + (candidates.n_left - len(known)) * candidates.mean
-    excluded_share = sum(share_of(view.endpoints[name]) for name in excluded)
+    excluded_share = sum(
+        share_of(view.endpoints[name]) for name in excluded - candidates.cold
+    )
     return spread_totals(
         total_load,
-        view.total_share - excluded_share,
+        view.total_share - excluded_share + view.evacuated_share,
         candidates.n_left,
         router.settings.bounds.load_factor * BOUND_SHARE,
     )
--- a/packages/direct/src/pulley_direct/endpoints/service_views.py
+++ b/packages/direct/src/pulley_direct/endpoints/service_views.py
@@ -4,7 +4,12 @@
 
 from ..state.fleet_views import FleetView, ServiceView
 from ..state.models import Endpoint
-from .departures import drop_lapsed, service_places, usable_endpoints
+from .departures import (
+    drop_lapsed,
+    list_evacuated,
+    service_places,
+    usable_endpoints,
+)
 
 # Endpoints cease to count as having joined or departed lately as time passes.
 MAX_AGE_MS = 1_000
@@ -40,6 +45,7 @@
         {one.name: one for one in usable},
         places,
         sum(map(share_of, usable)),
+        sum(map(share_of, list_evacuated(fleet_view, service))),
     )
     previous = fleet_view.services.get(service)
     if previous is not None and previous.places == places:
--- a/packages/direct/src/pulley_direct/peers/gossip.py
+++ b/packages/direct/src/pulley_direct/peers/gossip.py
@@ -96,19 +96,25 @@
     reported = job.reported
     if router.gossip is None or reported is None:
         return
-    state = get_state(router.loads, endpoint.name)
-    now_ms = router.clock.now_ms()
-    if now_ms < state.tell_after_ms:
-        return
     # Each one takes from the budget, so that none is left while many are over.
-    has_budget = take(load_bucket(router), now_ms)
-    if reported.n_requests <= job.placement.bound and not has_budget:
+    has_budget = take(load_bucket(router), router.clock.now_ms())
+    is_over = reported.n_requests > job.placement.bound
+    if not (may_tell_again(router, endpoint) if is_over else has_budget):
         return
-    state.tell_after_ms = now_ms + TELL_INTERVAL_MS
     percent = min(reported.duration_percent, MAX_DURATION_PERCENT)
     send_message(router, LoadMessage(endpoint.name, reported.n_requests, percent))
 
 
+def may_tell_again(router: Router, endpoint: Endpoint) -> bool:
+    """Check whether an endpoint's load over its bound was not told just now."""
+    state = get_state(router.loads, endpoint.name)
+    now_ms = router.clock.now_ms()
+    if now_ms < state.tell_after_ms:
+        return False
+    state.tell_after_ms = now_ms + TELL_INTERVAL_MS
+    return True
+
+
 def load_bucket(router: Router) -> TokenBucket:
     """Return the budget for telling loads that are within their bounds."""
     if router.load_bucket is None:
--- a/packages/direct/src/pulley_direct/state/fleet_views.py
+++ b/packages/direct/src/pulley_direct/state/fleet_views.py
@@ -64,7 +64,8 @@
 
     It was built at ``built_ms``, in clock ms, after ``n_changes`` changes of endpoints.
     ``places`` are its usable and recently departed endpoints, ``rankings`` those of
-    parts in use; ``total_share`` is the sum of the usable endpoints' shares.
+    parts in use; ``total_share`` is the sum of the usable endpoints' shares,
+    ``evacuated_share`` that of endpoints whose data centres are evacuated.
     """
 
     built_ms: int
@@ -72,6 +73,7 @@
     endpoints: dict[str, Endpoint]
     places: list[Place]
     total_share: int
+    evacuated_share: int = 0
     rankings: dict[bytes, Ranking] = field(default_factory=dict)
 
 
--- a/tests/decisions/evacuations.feature
+++ b/tests/decisions/evacuations.feature
@@ -68,6 +68,13 @@
     When the entry of the endpoint in north says that it is cold for 0 ms
     Then no endpoint is cold
 
+  # Guards against endpoints that hold more than the bound while others stand empty.
+  Scenario: The endpoints that are left take over the load of a data centre
+    Given endpoints in the data centres north and south
+    And a load of 12 requests at the endpoint in south
+    When north is evacuated
+    Then the bound on loads is half of what it was
+
   Scenario: A route is kept to its regions
     Given endpoints in the data centres north and south
     Then a job for the region up may go to north alone
--- a/tests/decisions/steps/evacuations.py
+++ b/tests/decisions/steps/evacuations.py
@@ -15,10 +15,15 @@
     takes_work,
     usable_endpoints,
 )
-from pulley_direct.endpoints.placing import list_outside
+from pulley_direct.endpoints.placing import (
+    Candidates,
+    list_outside,
+    measure_candidates,
+)
 from pulley_direct.endpoints.service_views import view_service
 from pulley_direct.state.fleet_views import FleetView, LeavingSource
 from pulley_direct.state.models import (
+    Bounds,
     Configuration,
     Endpoint,
     EvacuationEnded,
@@ -27,6 +32,7 @@
 )
 from pulley_direct.store.beliefs import apply_entries, replace_entries
 from pulley_http import Limits
+from pulley_policy.estimates import Sighting
 from pulley_policy.rate_shares import choose_role, take_request, update_allowance
 
 SERVICE = Service("model", 0, cold_rate_per_s=10.0, cold_start_ms=3_000)
@@ -175,6 +181,25 @@
     assert 0 < most <= n, most
 
 
+@given("a load of {n:d} requests at the endpoint in south")
+def hold_requests(context, n):
+    context.sightings = {"in-south": Sighting(float(n), 0, 0)}
+    context.bound = measure_bound(context)
+
+
+def measure_bound(context):
+    view = view_service(context.view, "model")
+    excluded = view.endpoints.keys() - context.sightings.keys()
+    router = SimpleNamespace(settings=SimpleNamespace(bounds=Bounds()))
+    candidates = Candidates(view, set(excluded), context.sightings, 0.0)
+    return measure_candidates(router, candidates).bound_per_share
+
+
+@then("the bound on loads is half of what it was")
+def check_bound(context):
+    assert measure_bound(context) == context.bound / 2
+
+
 def make_job(route_regions, team_regions=()):
     route = SimpleNamespace(regions=frozenset(route_regions))
     team = SimpleNamespace(regions=frozenset(team_regions))
