--- a/review/harness2.py
+++ b/review/harness2.py
@@ -265,6 +265,10 @@
     while time.monotonic() < end_s:
         if all([await is_ready(router) for router in routers]):
             return
+        for router in routers:
+            status = router.process.poll()
+            if status is not None:
+                raise CaseError(f"{router.name} ended with status {status}")
         await asyncio.sleep(0.1)
     raise CaseError("the routers did not get ready")
 
