--- a/review/harness2.py
+++ b/review/harness2.py
@@ -418,7 +418,8 @@
             if not await engine.answer(engine, headers, path, writer):
                 return
             await writer.drain()
-    except (asyncio.IncompleteReadError, ConnectionError):
+    except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+        # The caller has left, or the case has ended.
         pass
     finally:
         writer.close()
