--- a/review/9/case.py
+++ b/review/9/case.py
@@ -49,10 +49,10 @@
 MIN_LATE = 8
 # Callers here wait longer than the route's timeout, to see whether its end is kept.
 DEADLINE_MS = 3_000
-SEND_S = 24.0
+SEND_S = 28.0
 INTERVAL_S = 0.1
 CROWD_AFTER_S = 2.0
-N_CROWD = 60
+N_CROWD = 100
 N_REQUESTS = 400
 WORK_S = 0.02
 BODY = b"order confirmed\n"
