A success that its endpoint has not signed is a broken answer

Cause: answers were held against the request's id alone; the decoder of heads had no field for the signature. Ruled out: a late answer (the id is this request's, foreign_answer_skipped is not logged), a cut body (it has a length and keeps it).

Change: check_answer, which first attempts, attempts beside a silent endpoint and continued streams share, takes an answer below 400 without a signature as broken: another endpoint where the request may be repeated, else 502 with an unknown outcome. Errors pass as before.

The raw stand-ins of other tests sign their answers now, as the platform's endpoints do, or they would all be broken ones; checks and bounds are as they were.

--- a/packages/direct/src/pulley_direct/requests/rejections.py
+++ b/packages/direct/src/pulley_direct/requests/rejections.py
@@ -7,18 +7,23 @@
 from .bodies import read_body
 
 MISDIRECTED_STATUS = 421
+FIRST_ERROR_STATUS = 400
 
 
 async def check_answer(exchange: Exchange, job: Job) -> None:
     """Raise AttemptFailed for an answer that can't be passed on.
 
-    That is a rejection of the request, or a body with a content encoding.
+    That is a rejection of the request, a body with a content encoding, or an answer
+    that is no error and has no signature, as no endpoint vouches for it.
     """
     if exchange.metadata.not_run or exchange.status == MISDIRECTED_STATUS:
         await raise_rejection(exchange, job)
     if exchange.metadata.encoded:
         text = "an encoded body"
         raise AttemptFailed(Reason.ENGINE_ERROR, text, exchange.endpoint)
+    if exchange.status < FIRST_ERROR_STATUS and not exchange.metadata.signed:
+        text = f"status {exchange.status} without a signature"
+        raise AttemptFailed(Reason.ENGINE_ERROR, text, exchange.endpoint)
 
 
 async def raise_rejection(exchange: Exchange, job: Job) -> None:
--- a/packages/direct/src/pulley_direct/state/models.py
+++ b/packages/direct/src/pulley_direct/state/models.py
@@ -261,15 +261,17 @@
 
     ``request_id`` is the id of the request that it answers, None if absent;
     ``not_run`` says that the endpoint did not run the request, ``encoded`` that
-    the body has a content encoding, ``leaving`` that the endpoint takes no new work
-    any more. ``retry_after_ms`` is the time after which to come back, None if absent.
-    ``rate_limit`` is the rate, in requests per second, that it takes from all routers
-    together: ABSENT if it names none, UNKNOWN if that can't be read.
+    the body has a content encoding, ``signed`` that the endpoint's signature is there,
+    ``leaving`` that the endpoint takes no new work any more. ``retry_after_ms`` is the
+    time after which to come back, None if absent. ``rate_limit`` is the rate, in
+    requests per second, that it takes from all routers together: ABSENT if it names
+    none, UNKNOWN if that can't be read.
     """
 
     request_id: str | None
     not_run: bool
     encoded: bool
+    signed: bool
     load: ReportedLoad | None = None
     idle_timeout_ms: int | None = None
     leaving: bool = False
--- a/tests/direct/steps/faulty_endpoints.py
+++ b/tests/direct/steps/faulty_endpoints.py
@@ -124,8 +124,9 @@
 def encode_answer(request_id: str, status: int = 200, extra: bytes = b"") -> bytes:
     """Return a whole answer as bytes."""
     body = expected_body(request_id)
-    head = b"HTTP/1.1 %d x\r\nattempt-id: %s\r\n%scontent-length: %d\r\n\r\n"
-    return head % (status, request_id.encode(), extra, len(body)) + body
+    identity = b"attempt-id: %s\r\nserver-stamp: s\r\n" % request_id.encode()
+    head = b"HTTP/1.1 %d x\r\n%s%scontent-length: %d\r\n\r\n"
+    return head % (status, identity, extra, len(body)) + body
 
 
 async def run_and_answer(endpoint, request_id, reader, writer):
--- a/tests/direct/steps/raw_endpoints.py
+++ b/tests/direct/steps/raw_endpoints.py
@@ -118,9 +118,13 @@
     return headers
 
 
-def encode_head(request: RawRequest, *lines: str, status: int = 200) -> bytes:
+def encode_head(
+    request: RawRequest, *lines: str, status: int = 200, signed: bool = True
+) -> bytes:
     """Return an answer's head with the request's id and these header lines."""
     rows = [f"HTTP/1.1 {status} x", f"attempt-id: {request.request_id}", *lines]
+    if signed:
+        rows.append("server-stamp: s")
     return "\r\n".join([*rows, "", ""]).encode()
 
 
--- a/tests/direct/steps/timed_endpoints.py
+++ b/tests/direct/steps/timed_endpoints.py
@@ -53,4 +53,5 @@
 
 def answer_head(framing: str, request_id: str = "request-1") -> bytes:
     """Return the head of a successful answer."""
-    return f"HTTP/1.1 200 OK\r\nattempt-id: {request_id}\r\n{framing}\r\n".encode()
+    identity = f"attempt-id: {request_id}\r\nserver-stamp: s"
+    return f"HTTP/1.1 200 OK\r\n{identity}\r\n{framing}\r\n".encode()
--- a/tests/spreads/steps/hot_endpoints.py
+++ b/tests/spreads/steps/hot_endpoints.py
@@ -218,7 +218,7 @@
 def begin_answer(world, engine, work):
     """Report the engine's load as an answer begins."""
     load = ReportedLoad(len(engine.running), len(engine.waiting), 64)
-    metadata = AnswerMetadata("r", False, False, load)
+    metadata = AnswerMetadata("r", False, False, True, load)
     run_later(
         world,
         lambda: record_head(work.router, work.job, engine.endpoint, 200, metadata),
