A stream that is lost after its first events counts as lost

Cause: losses were reported only by attempts that failed before an event reached the caller, and an answer that went on past its first events cleared all of its prompt's keys.

Change: a stream whose connection is lost leaves a report against its own key once its endpoint refuses connections, dropped if the request ends well. Events clear a prompt's parts alone, a whole answer its own key. Related paths: a stream lost as it is resumed reports, and one known to have been lost is held back before it is resumed.

--- a/packages/direct/src/pulley_direct/crashes/crashes.py
+++ b/packages/direct/src/pulley_direct/crashes/crashes.py
@@ -13,6 +13,7 @@
     last_key,
     probed_keys,
     score_request,
+    select_keys,
 )
 from pulley_policy.probation import (
     Restricted,
@@ -129,8 +130,7 @@
     that an endpoint held as it crashed had no answer yet, or events. Returns whether
     it was lost in a crash, which it may have caused.
 
-    Any other request may have been lost with it. Its loss is held until the request
-    ends, and dropped if that is with a good answer.
+    Any other request may have been lost with it; ``hold_loss`` keeps its loss.
     """
     if not may_be_crash(failure) or job.scores is None:
         return False
@@ -143,10 +143,23 @@
         return await report_loss(
             router, Loss(failure.endpoint, probed_keys(scores), probe)
         )
-    job.losses.append(Loss(failure.endpoint, last_key(scores), probe))
+    hold_loss(router, job, failure.endpoint)
     return False
 
 
+def hold_loss(router: Router, job: Job, endpoint: Endpoint) -> None:
+    """Keep the loss of a request, against its own key, until the request ends.
+
+    It is dropped if that is with a good answer. A probe is held against the keys that
+    it probed too.
+    """
+    if job.scores is None:
+        return
+    scores = with_request_key(job)
+    keys = probed_keys(scores) if scores.probes else last_key(scores)
+    job.losses.append(Loss(endpoint, keys, start_probe(router, endpoint.address)))
+
+
 async def report_if_suspect(router: Router, job: Job) -> None:
     """Report what a job has lost before it is sent again, if it may be to blame.
 
@@ -224,13 +237,29 @@
     )
 
 
-def record_good_answer(router: Router, job: Job) -> None:
-    """Clear a request's keys: its answer is whole, or goes on past its first events."""
+def record_good_stream(router: Router, job: Job) -> None:
+    """Clear a prompt's keys, and drop what it has lost: its answer is whole."""
     scores, job.scores = job.scores, None
+    job.losses.clear()
     if scores is not None:
         clear(router, scores)
 
 
+def record_read_parts(router: Router, job: Job) -> None:
+    """Clear the parts of a prompt: its answer goes on past its first events.
+
+    Its own key is kept until the answer is whole: the prompt may still crash the
+    endpoint.
+    """
+    scores = job.scores
+    prefix = request_key_prefix(job)
+    if scores is None or not scores.keys or scores.keys[0].startswith(prefix):
+        return
+    parts = [key for key in scores.keys if not key.startswith(prefix)]
+    job.scores = select_keys(scores, scores.keys[len(parts) :])
+    clear(router, select_keys(scores, parts))
+
+
 def record_good_request(router: Router, job: Job) -> None:
     """Record a whole answer that is no stream: it says nothing of prompt parts."""
     scores, job.scores = job.scores, None
--- a/packages/direct/src/pulley_direct/requests/dispatch.py
+++ b/packages/direct/src/pulley_direct/requests/dispatch.py
@@ -56,13 +56,16 @@
     """
     earn_retry(router, job.service)
     job.elsewhere = Elsewhere(partial(answer_elsewhere, router), discard_response)
+    response = None
     try:
         response = await find_answer(router, job)
         if is_good_answer(job, response.status):
             record_success_of_job(router, job)
         return response
     finally:
-        report_after_end(router, job)
+        # A stream goes on, and reports at its own end.
+        if response is None or not isinstance(response.body, EventStream):
+            report_after_end(router, job)
 
 
 def is_good_answer(job: Job, status: int) -> bool:
@@ -79,9 +82,9 @@
 
 
 def record_success_of_job(router: Router, job: Job) -> None:
-    """Drop what a job has lost; a stream clears its keys only as it goes on."""
-    job.losses.clear()
+    """Drop what a job has lost; a stream does so itself, once it is whole."""
     if job.route.retry_class is not RetryClass.STREAM:
+        job.losses.clear()
         record_good_request(router, job)
 
 
--- a/packages/direct/src/pulley_direct/requests/resumptions.py
+++ b/packages/direct/src/pulley_direct/requests/resumptions.py
@@ -2,7 +2,7 @@
 
 from pulley_base import Reason
 
-from ..crashes.crashes import find_blocking_key
+from ..crashes.crashes import find_blocking_key, record_loss, report_if_suspect
 from ..endpoints.budgets import spend_retry
 from ..endpoints.failures import handle_attempt_failure
 from ..endpoints.placing import Target, choose_target
@@ -21,10 +21,12 @@
 ) -> Exchange | None:
     """Continue a broken stream at another endpoint, after ``last_event_id``.
 
-    Returns None if no time, attempt, retry or endpoint is left. A retry that was not
-    sent stays reserved for the job.
+    Returns None if no time, attempt, retry or endpoint is left, or if the stream is
+    held back as it crashes endpoints. A retry that was not sent stays reserved for the
+    job.
     """
     while may_resume(router, job) and spend_retry(router, job, Reason.CONNECTION_LOST):
+        await report_if_suspect(router, job)
         if find_blocking_key(router, job) is not None:
             job.retry_reserved = True
             return None
@@ -35,10 +37,12 @@
         try:
             return await start_resumed_exchange(router, job, target, last_event_id)
         except AttemptFailed as failure:
+            crashed = False
             if failure.reason is not Reason.STALLED:
+                crashed = await record_loss(router, job, failure)
                 handle_attempt_failure(router, job, failure)
             resumed = await take_other_answer(job)
-            if resumed is not None:
+            if resumed is not None or crashed:
                 return resumed
             job.retry_reserved = job.retry_reserved or not failure.reached
         finally:
--- a/packages/direct/src/pulley_direct/requests/streams.py
+++ b/packages/direct/src/pulley_direct/requests/streams.py
@@ -6,7 +6,12 @@
 from pulley_base import ConnectionLost, PulleyError, Reason, log_event
 from pulley_http import Response, drop_hop_by_hop_headers
 
-from ..crashes.crashes import record_good_answer
+from ..crashes.crashes import (
+    hold_loss,
+    record_good_stream,
+    record_read_parts,
+    report_after_end,
+)
 from ..endpoints.outcomes import MIN_SILENCE_MS, record_failed_attempt
 from ..state.jobs import Elsewhere, Job
 from ..state.loads import record_success
@@ -74,13 +79,13 @@
         try:
             if self.exchange.finished:
                 await check_end(self.exchange, self.job, self.buffer)
-                record_good_answer(self.router, self.job)
+                record_good_stream(self.router, self.job)
                 return take_rest(self.buffer) or None
             chunk = await read_chunk(self.exchange, self.job)
             self.keep_endpoint()
             events = take_events(self.buffer, chunk or b"")
             if events:
-                record_good_answer(self.router, self.job)
+                record_read_parts(self.router, self.job)
             return events
         except PulleyError as error:
             await self.continue_elsewhere(error)
@@ -149,8 +154,9 @@
         self.buffer = EventBuffer(last_id=self.buffer.last_id)
 
     async def aclose(self) -> None:
-        """Close the stream."""
+        """Close the stream, and report what it has lost."""
         self.close()
+        report_after_end(self.router, self.job)
 
     def close(self) -> None:
         """End the exchange, whether or not it is complete, and any other attempt."""
@@ -173,9 +179,12 @@
 def record_broken_stream(exchange: Exchange, job: Job, reason: Reason) -> None:
     """Record a stream that broke off or did not end by its deadline.
 
-    An endpoint that still sent events at the deadline has not failed.
+    It may have been lost in a crash that it caused. An endpoint that still sent events
+    at the deadline has not failed.
     """
     router = exchange.router
+    if reason is Reason.CONNECTION_LOST:
+        hold_loss(router, job, exchange.endpoint)
     silent_ms = router.clock.now_ms() - exchange.last_read_ms
     if reason is Reason.DEADLINE and silent_ms < MIN_SILENCE_MS:
         router.counters.failures[reason] += 1
--- a/tests/direct/crashing_request.feature
+++ b/tests/direct/crashing_request.feature
@@ -80,3 +80,30 @@
     When a lookup is lost at all endpoints at once, and then comes again for 7 s
     Then it is held back at first, and then answered by every router
     And no key is quarantined at any router
+
+  # Guards against crash after crash by a prompt whose answer had begun (BUDGET).
+  Scenario Outline: One prompt crashes each endpoint after its first events
+    When one <kind> prompt that crashes endpoints after <n> events comes for 8 s
+    Then at most 3 of its arrivals are later than 1 s after the third crash
+    And endpoints crash at most 4 times
+    And the last ones are refused at once as not run and quarantined
+    And every router names that request alone as quarantined
+
+    Examples:
+      | kind      | n |
+      | single    | 1 |
+      | single    | 4 |
+      | resumable | 1 |
+      | resumable | 4 |
+
+  # Guards against sound chats refused as they, and their repeats, met a crash.
+  Scenario: A sound chat is cut in two crashes, among others
+    When one chat is cut in 2 crashes that it did not cause, and many others are
+    Then the chat has its whole answer
+    And no key is quarantined at any router
+
+  # Guards against a deadly prompt that is lost as it is resumed, before its head.
+  Scenario: One prompt crashes endpoints, and is lost before the head as it is resumed
+    When one prompt crashes endpoints after 1 event, and at once as it is resumed
+    Then at most 3 of its arrivals are later than 1 s after the third crash
+    And endpoints crash at most 4 times
--- a/tests/direct/steps/crashing_request.py
+++ b/tests/direct/steps/crashing_request.py
@@ -6,6 +6,7 @@
 from unittest.mock import AsyncMock, patch
 
 from behave import then, when
+from broken_streams import encode_events
 from crashing_hosts import (
     N_ROUTERS,
     Host,
@@ -14,9 +15,13 @@
     crash_host,
     start_scene,
 )
-from pulley_platform_standins.endpoints import answer_request, header_text
+from pulley_platform_standins.endpoints import (
+    answer_headers,
+    answer_request,
+    header_text,
+)
 from pulley_platform_standins.stores import put_document
-from scenes import CHAT, LOOKUP, ORDER, Answer, configuration, send_call
+from scenes import CHAT, LOOKUP, ONCE, ORDER, Answer, configuration, send_call
 
 from pulley_direct.crashes import crash_probes
 from pulley_direct.state.crash_log import apply_reports
@@ -26,7 +31,13 @@
 from pulley_policy.crashes import list_quarantined
 from pulley_policy.losses import LostRequest, Suspect
 
-PATHS = {"lookup": LOOKUP, "order": ORDER, "prompt": CHAT}
+PATHS = {
+    "lookup": LOOKUP,
+    "order": ORDER,
+    "prompt": CHAT,
+    "resumable": CHAT,
+    "single": ONCE,
+}
 PARTS = "f1:100,aa:10"
 DEADLY = "deadly"
 POPULAR = "popular"
@@ -34,6 +45,8 @@
 MARGIN_S = 1.0
 SETTLED_S = 0.8
 SLOW_ANSWER_S = 0.2
+EVENT_S = 0.01
+DEADLY_EVERY_MS = 1_200
 OTHERS_EVERY_S = 0.1
 PAUSE_IN_BURST_S = 0.04
 REFUSED_AT_ONCE_MS = 100
@@ -54,10 +67,14 @@
 class Scene(HostScene):
     """Requests with the body of ``deadly`` crash endpoints; when and where they came.
 
-    Endpoints wait ``slow_s`` before each answer.
+    Endpoints wait ``slow_s`` before each answer. They crash after ``n_events`` events
+    of the answer to a deadly request; without events as they resume one, if
+    ``resumes_dead``.
     """
 
     slow_s: float = 0.0
+    n_events: int = 0
+    resumes_dead: bool = False
     arrivals_s: list[float] = field(default_factory=list)
     answers: list[Answer] = field(default_factory=list)
     others: list[Answer] = field(default_factory=list)
@@ -71,6 +88,10 @@
     loop = asyncio.get_running_loop()
     if header_text(request, b"x-name") == DEADLY:
         scene.arrivals_s.append(loop.time())
+        last_id = int(header_text(request, b"last-event-id") or 0)
+        if scene.n_events and not (scene.resumes_dead and last_id):
+            events = stream_and_crash(scene, host, last_id)
+            return Response(200, answer_headers(host.endpoint, request), events)
         crash_host(scene, host)
         await asyncio.sleep(1.0)
     await asyncio.sleep(scene.slow_s)
@@ -79,6 +100,15 @@
     return await answer_request(host.endpoint, request)
 
 
+async def stream_and_crash(scene: Scene, host: Host, last_id: int):
+    """Yield the next events of a stream, and crash."""
+    for number in range(last_id + 1, last_id + scene.n_events + 1):
+        yield encode_events(number, number)
+        await asyncio.sleep(EVENT_S)
+    crash_host(scene, host)
+    await asyncio.sleep(1.0)
+
+
 def serve_models(scene: Scene) -> None:
     """Let all routes go to the service of the hosts."""
     document = configuration(2, ["token-of-orto"])
@@ -155,6 +185,50 @@
     context.crashing = asyncio.run(run_scene(play))
 
 
+@when(
+    "one {kind} prompt that crashes endpoints after {n:d} events comes for {duration:d}"
+    " s"
+)
+def send_streams(context, kind, n, duration):
+    pauses_s = [DEADLY_EVERY_MS / 1_000] * (duration * 1_000 // DEADLY_EVERY_MS)
+
+    async def play(scene):
+        scene.n_events = n
+        await send_beside_others(scene, kind, pauses_s)
+
+    context.crashing = asyncio.run(run_scene(play))
+
+
+@when("one prompt crashes endpoints after 1 event, and at once as it is resumed")
+def send_dead_resumptions(context):
+    async def play(scene):
+        scene.n_events, scene.resumes_dead = 1, True
+        await send_beside_others(scene, "resumable", [DEADLY_EVERY_MS / 1_000] * 4)
+
+    context.crashing = asyncio.run(run_scene(play))
+
+
+@when("one chat is cut in {n:d} crashes that it did not cause, and many others are")
+def cut_chat(context, n):
+    bodies = [b'{"id": %d}' % number for number in range(N_DIFFERENT)]
+
+    async def play(scene):
+        for _ in range(n):
+            for host in scene.hosts:
+                host.endpoint.pause_ms = int(2_000 * SLOW_ANSWER_S)
+            chats = [send(scene, ONCE, "", body) for body in [b"{}", *bodies]]
+            answers = asyncio.gather(*chats)
+            await asyncio.sleep(SLOW_ANSWER_S)
+            for host in scene.hosts:
+                crash_host(scene, host)
+            found = {(one.status, one.whole) for one in await answers}
+            assert found == {(200, False)}, found
+            await asyncio.sleep(SETTLED_S)
+        scene.answers.append(await send(scene, ONCE, "", b"{}"))
+
+    context.crashing = asyncio.run(run_scene(play))
+
+
 @when(
     "one {kind} that crashes endpoints comes in bursts of {n:d}, one every {every:d} ms"
 )
@@ -291,6 +365,7 @@
 
 @then("the lookup has its whole answer")
 @then("the order has its whole answer")
+@then("the chat has its whole answer")
 def check_whole(context):
     answer = context.crashing.answers[-1]
     assert (answer.status, answer.whole) == (200, True), answer
