An answer of the store may take longer than a second, if it goes on

Cause: a call to the store was limited to one second for the whole answer. A configuration of 530 KB takes 1.1 s over 5 Mbit/s, so that each read failed and the next began from nothing. In the same way a watch whose answer was on its way was cut 0.24 s after a check knew of the change. Ruled out: a slow store (others read it), decoding (0.1 to 0.2 s in the log).

Change: an answer must begin in time and may not stop for longer than that, ten seconds in all; so for the answers of watchers. A watch whose answer has begun is waited for, and the check beside it dates what it brings. A watch that ends without a change that a check saw is not believed. Whether configurations follow each other rapidly goes by when they begin to arrive.

The simulated stores of tests/following say when an answer begins.

--- a/packages/direct/src/pulley_direct/peers/relays.py
+++ b/packages/direct/src/pulley_direct/peers/relays.py
@@ -189,6 +189,7 @@
         target,
         headers=[(NONCE_HEADER, nonce), (DIGEST_HEADER, digest)],
         timeout_ms=int(times.answer_wait_ms * (1 + ANSWER_GRACE_SHARE)),
+        stall_timeout_ms=times.answer_wait_ms,
     )
     if response.status != 200:
         raise RelayRefused(response.status, entry.address)
--- a/packages/direct/src/pulley_direct/store/followers.py
+++ b/packages/direct/src/pulley_direct/store/followers.py
@@ -20,6 +20,7 @@
 )
 from .endpoint_guards import guard_endpoints
 from .positions import (
+    Checked,
     Follower,
     Watchers,
     WatchProgress,
@@ -120,6 +121,7 @@
     """Make one read or one watch; return the delay before the next one in ms."""
     progress, fleet_view = follower.progress, follower.fleet_view
     version = current_version(fleet_view)
+    progress.answered_ms = progress.checked = None
     if needs_full_read(follower):
         changes = await read_everything(follower)
     else:
@@ -176,36 +178,72 @@
         return None
     if changes is None or forget_if_restored(follower, changes):
         return None
+    if is_short(progress, changes):
+        warn_event(logger, "watch_behind", revision=progress.revision)
+        progress.revision = None
+        return None
     end_outage(fleet_view)
     apply_entries(fleet_view, changes.entries)
     if fleet_view.mirror is not None:
         record_items(fleet_view.mirror, changes.items, changes.revision)
-    record_store_success(fleet_view, started_ms)
+    record_store_success(fleet_view, find_confirmed_ms(progress, changes, started_ms))
     return changes
 
 
+def is_short(progress: WatchProgress, changes: Changes) -> bool:
+    """Check whether a watch ended without a change that a check beside it saw."""
+    checked = progress.checked
+    if checked is None or checked.revision <= progress.revision:
+        return False
+    return not (changes.entries or changes.items)
+
+
+def find_confirmed_ms(
+    progress: WatchProgress, changes: Changes, started_ms: int
+) -> int:
+    """Return as of which clock reading a watch's changes were all that there was.
+
+    That is the last check beside it, if the changes go as far as that one saw.
+    """
+    checked = progress.checked
+    if checked is not None and checked.revision <= changes.revision:
+        return checked.at_ms
+    return started_ms
+
+
 async def watch_and_check(follower: Follower) -> Changes | None:
     """Return a watch's answer, None if it is given up.
 
-    That is when a check found changes that it does not bring, and when another router
-    can be followed. Raises the error of the watch, or that of a check.
+    That is when a check found changes that it does not begin to bring, and when another
+    router can be followed. Raises the error of the watch, or that of a check.
     """
-    revision = follower.progress.revision
-    watching = asyncio.create_task(follower.store.watch(revision, WATCH_WAIT_MS))
+    progress = follower.progress
+    revision = progress.revision
+
+    def hear_answer() -> None:
+        progress.answered_ms = follower.clock.now_ms()
+
+    watching = asyncio.create_task(
+        follower.store.watch(revision, WATCH_WAIT_MS, hear_answer)
+    )
     try:
         while not await is_done_within(watching, next_check_in_ms(follower)):
             if await is_unchanged(follower):
                 if is_watch_needless(follower):
                     return None
                 continue
-            if follower.progress.revision is None:
+            if progress.revision is None:
                 # The store was restored; the watch may still tell of the time before.
                 return None
-            lag_ms = follower.times.watch_lag_ms
-            if not await is_done_within(watching, lag_ms):
-                warn_event(logger, "watch_behind", revision=revision)
-                follower.progress.revision = None
-                return None
+            if await is_done_within(watching, follower.times.watch_lag_ms):
+                break
+            if progress.answered_ms is not None:
+                # A large answer arrives over a narrow link; reading it anew takes as
+                # long.
+                break
+            warn_event(logger, "watch_behind", revision=revision)
+            progress.revision = None
+            return None
         return await watching
     finally:
         watching.cancel()
@@ -239,6 +277,7 @@
     found = await follower.store.read_revision()
     if forget_if_restored(follower, found):
         return False
+    follower.progress.checked = Checked(found.revision, started_ms)
     if found.revision != follower.progress.revision:
         return False
     end_outage(follower.fleet_view)
@@ -247,10 +286,14 @@
 
 
 def record_version_change(progress: WatchProgress, now_ms: int) -> None:
-    """Record a new configuration; if one came shortly before, request a full read."""
+    """Record a new configuration; if one came shortly before, request a full read.
+
+    The time that it took to arrive doesn't count.
+    """
     previous_ms = progress.changed_ms
     progress.changed_ms = now_ms
-    if previous_ms is not None and now_ms - previous_ms < RAPID_CHANGE_MS:
+    began_ms = now_ms if progress.answered_ms is None else progress.answered_ms
+    if previous_ms is not None and began_ms - previous_ms < RAPID_CHANGE_MS:
         progress.revision = None
 
 
--- a/packages/direct/src/pulley_direct/store/positions.py
+++ b/packages/direct/src/pulley_direct/store/positions.py
@@ -41,15 +41,26 @@
 
     ``revision`` is None if everything has to be read again. ``era`` is that of the
     last answer that told it, ``changed_ms`` the clock reading at which the last new
-    configuration arrived.
+    configuration was installed, ``answered_ms`` that at which the present watch's
+    answer began to arrive. ``checked`` is what the last check told beside this watch.
     """
 
     revision: int | None = None
     era: int | None = None
     changed_ms: int | None = None
+    answered_ms: int | None = None
+    checked: "Checked | None" = None
     n_failures: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Checked:
+    """The store's revision at a check, which began at the clock reading ``at_ms``."""
+
+    revision: int
+    at_ms: int
+
+
 @dataclass(slots=True)
 class Follower:
     """What following the store needs: its calls, the beliefs, the position and times.
--- a/packages/direct/src/pulley_direct/store/store_calls.py
+++ b/packages/direct/src/pulley_direct/store/store_calls.py
@@ -54,8 +54,9 @@
     evacuations alone. All raise StoreCallRefused for a status other
     than 2xx, unless stated otherwise, ConnectionLost or TimedOut if no answer came, and
     ProtocolError for an answer that can't be decoded.
-    ``watch`` takes a revision and the time to wait in ms, and returns HISTORY_LOST if
-    the store has dropped the changes since then.
+    ``watch`` takes a revision, the time to wait in ms and what to call as the answer
+    begins to arrive, and returns HISTORY_LOST if the store has dropped the changes
+    since that revision.
     ``grant_lease`` takes the time to live in ms. ``renew_lease`` returns False if
     the lease has expired. ``announce`` takes the router's own entry and a lease,
     ``report_crashes`` a router's reports and a lease. ``read_revision`` returns changes
@@ -66,7 +67,7 @@
 
     read_all: Callable[[], Awaitable[Changes]]
     read_endpoints: Callable[[], Awaitable[Changes]]
-    watch: Callable[[int, int], Awaitable[Changes | Sentinel]]
+    watch: Callable[[int, int, Callable[[], None]], Awaitable[Changes | Sentinel]]
     grant_lease: Callable[[int], Awaitable[LeaseGranted]]
     renew_lease: Callable[[int], Awaitable[bool]]
     announce: Callable[[RouterEntry, int], Awaitable[None]]
--- a/packages/http/src/pulley_http/clients.py
+++ b/packages/http/src/pulley_http/clients.py
@@ -1,6 +1,6 @@
 """An HTTP/1.1 client over h11 and asyncio, with a pool of idle connections."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
@@ -23,6 +23,8 @@
 MAX_INFORMATIONAL_RESPONSES = 16
 # Many pages of a store, and a small part of a process's memory.
 MAX_FETCHED_BYTES = 64 * 1024 * 1024
+# Several megabytes over a link of a few Mbit/s.
+MAX_SLOW_BODY_MS = 10_000
 
 
 @dataclass(slots=True)
@@ -228,20 +230,40 @@
     headers: Headers = (),
     body: bytes = b"",
     timeout_ms: int = 5_000,
+    stall_timeout_ms: int | None = None,
+    on_head: Callable[[], None] | None = None,
 ) -> Response:
     """Send a request and return its response with the whole body as bytes.
 
+    Without ``stall_timeout_ms`` the whole response must arrive within ``timeout_ms``.
+    With it, its head must; the body may take ``MAX_SLOW_BODY_MS`` longer, as long as
+    no wait for its next bytes exceeds ``stall_timeout_ms``. ``on_head`` is called when
+    the head has arrived.
+
     Raises the errors of ``send_request``, TimedOut with the step ``fetch`` if the
-    body has not arrived in full within ``timeout_ms``, and ConnectionLost if it is
-    larger than ``MAX_FETCHED_BYTES``.
+    response has not arrived in full in time, and ConnectionLost if its body is larger
+    than ``MAX_FETCHED_BYTES``.
     """
+    is_slow = stall_timeout_ms is not None
     try:
-        async with time_limit(timeout_ms):
+        async with time_limit(timeout_ms + (MAX_SLOW_BODY_MS if is_slow else 0)):
             response = await send_request(
-                client, peer, method, target, headers=headers, body=body
+                client,
+                peer,
+                method,
+                target,
+                headers=headers,
+                body=body,
+                timeout_ms=timeout_ms if is_slow else None,
+                stall_timeout_ms=stall_timeout_ms,
             )
+            if on_head is not None:
+                on_head()
             async with aclosing(response.body) as pieces:
                 response.body = await read_limited(pieces, peer)
+    except TimedOut:
+        close_idle(client, peer)
+        raise
     except TimeoutError as error:
         close_idle(client, peer)
         raise TimedOut("no answer in time", step="fetch", peer=peer) from error
--- a/tests/adapter/steps/store_calls.py
+++ b/tests/adapter/steps/store_calls.py
@@ -56,7 +56,7 @@
             document = CONFIGURATION | {"version": version}
             put_document(store, "op/config", document)
         put_document(store, "op/config", {"version": "three"})
-        return await calls.watch(changes.revision, 1_000)
+        return await calls.watch(changes.revision, 1_000, lambda: None)
 
     context.changes = asyncio.run(with_store(use_store))
 
--- a/tests/following/machines/fleets.py
+++ b/tests/following/machines/fleets.py
@@ -181,7 +181,7 @@
         await travel(fleet)
         return found
 
-    async def watch(revision, wait_ms):
+    async def watch(revision, wait_ms, hear_answer):
         await reach_store(fleet, name)
         end_ms = fleet.clock.now_ms() + wait_ms
         era = store.era
@@ -194,6 +194,8 @@
             await asyncio.sleep(to_seconds(5))
         found = store.revision, store.era
         await travel(fleet)
+        hear_answer()
+        await travel(fleet)
         entries = tuple(await decode_items(items))
         return Changes(entries, *found, tuple(items))
 
