--- a/tests/direct/steps/limits_of_process.py
+++ b/tests/direct/steps/limits_of_process.py
@@ -245,6 +245,8 @@
 
     async def read_endpoints():
         context.n_reads += 1
+        if context.n_reads <= getattr(context, "n_failing_reads", 0):
+            raise ConnectionLost("closed", step="fetch", peer="store")
         return Changes((replace(ready, draining=True, revision=2),), 2)
 
     async def run():
@@ -261,7 +263,11 @@
             progress=SimpleNamespace(era=None),
         )
         guarding = asyncio.create_task(guard_endpoints(follower))
-        await asyncio.sleep(IN_FORCE_MS / 1_000)
+        fails_for_s = getattr(context, "failing_share", 0) * IN_FORCE_MS / 1_000
+        await asyncio.sleep(fails_for_s)
+        if fails_for_s:
+            view.failing_since_ms = None
+        await asyncio.sleep(IN_FORCE_MS / 1_000 - fails_for_s)
         context.leaving = set(view.leaving)
         guarding.cancel()
 
--- a/tests/direct/steps/slow_watches.py
+++ b/tests/direct/steps/slow_watches.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
 
 from pulley_base import Clock
 from pulley_direct.state.fleet_views import FleetView, configuration_age_ms
@@ -109,3 +109,14 @@
 @then("after the second one everything was read anew")
 def check_read_anew(context):
     assert context.followed[0].n_reads > 1, context.followed[0].n_reads
+
+
+@given("a store that fails the first {n:d} reads of the endpoints alone")
+def fail_reads(context, n):
+    context.n_failing_reads = n
+
+
+@given("a router whose store fails for {share:g} of the time that changes may take")
+def fail_for_a_while(context, share):
+    context.failing_since_ms = 1
+    context.failing_share = share
