The log tells which retries were granted or denied, and what was left

Cause: two hypotheses of the incident look the same in the logs: a full share of the retry budget at each start, and requests that are sent without asking the budget.

Change: retry_granted and retry_denied, with what is left and by how many routers it is shared. No logic changes.

--- a/packages/direct/src/pulley_direct/endpoints/budgets.py
+++ b/packages/direct/src/pulley_direct/endpoints/budgets.py
@@ -1,12 +1,16 @@
 """This router's share of the fleet's retry budget, for each service."""
 
-from pulley_base import Reason
+import logging
+
+from pulley_base import Reason, log_event
 from pulley_policy.retries import RetryBudget
 
 from ..state.fleet_views import sharing_routers
 from ..state.jobs import Job
 from ..state.routers import Router
 
+logger = logging.getLogger(__name__)
+
 # Each router uses this part of its share of the fleet's retry budget; the rest is for
 # routers that have just started with a full share of their own.
 BUDGET_SHARE = 0.6
@@ -29,10 +33,20 @@
     if job.retry_reserved:
         job.retry_reserved = False
         return True
-    if not get_budget(router, job.service).spend():
-        return False
-    router.counters.retries[reason] += 1
-    return True
+    budget = get_budget(router, job.service)
+    granted = budget.spend()
+    log_event(
+        logger,
+        "retry_granted" if granted else "retry_denied",
+        request=job.call.request_id,
+        service=job.service,
+        reason=reason,
+        left=round(budget.left, 2),
+        n_routers=count_routers(router),
+    )
+    if granted:
+        router.counters.retries[reason] += 1
+    return granted
 
 
 def reserve_retry(router: Router, job: Job) -> bool:
