An entry that lacks a field which every endpoint writes names no endpoint

Cause: zone, coldLeftMs and born had defaults, version and seq were not looked at. Ruled out: that parts of two entries are joined.

--- a/tests/adapter/odd_entries.feature
+++ b/tests/adapter/odd_entries.feature
@@ -31,6 +31,32 @@
       | a key with a space               |
       | a key in another script          |
 
+  # Guards against requests that an endpoint of another service runs, as another writer
+  # has left out what an endpoint tells of itself.
+  Scenario Outline: An endpoint's entry without <field>, or with another type, names none
+    When the store has an endpoint's entry without <field> beside a sound one
+    Then the sound one is read and the odd one is removed
+    And a log line names <field>
+    When the store has an endpoint's entry whose <field> is a list beside a sound one
+    Then the sound one is read and the odd one is removed
+    And a log line names <field>
+
+    Examples:
+      | field      |
+      | service    |
+      | address    |
+      | zone       |
+      | version    |
+      | slots      |
+      | state      |
+      | coldLeftMs |
+      | seq        |
+
+  # Guards against sound endpoints that aren't used as they leave out what they may.
+  Scenario: An endpoint's entry without its start is read
+    When the store has an endpoint's entry without born beside a sound one
+    Then both are read
+
   # Guards against a router's entry that ends the word of this router to its peers.
   Scenario Outline: A router's entry with <fault> names no router, and the others hold
     When the store has a router's entry with <fault> beside a sound one
--- a/tests/adapter/steps/odd_entries.py
+++ b/tests/adapter/steps/odd_entries.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import logging
 from dataclasses import replace
 
 from behave import then, when
@@ -94,6 +95,46 @@
     context.removed = EndpointRemoved(key.removeprefix("servers/"), 7)
 
 
+def read_beside_sound(context, document):
+    """Read an odd endpoint's entry beside a sound one, and keep what is logged."""
+    items = [
+        make_item(ODD_KEY, json.dumps(document).encode()),
+        make_item("servers/sound", entry_text().encode()),
+    ]
+    lines = []
+    handler = logging.Handler()
+    handler.emit = lambda record: lines.append(str(vars(record)))
+    logger = logging.getLogger("pulley_adapter.stores")
+    logger.addHandler(handler)
+    try:
+        context.entries = read_items(items)
+    finally:
+        logger.removeHandler(handler)
+    context.lines = lines
+    context.removed = EndpointRemoved("odd", 7)
+
+
+@when("the store has an endpoint's entry without {field} beside a sound one")
+def read_without_field(context, field):
+    document = {key: ENDPOINT_ENTRY[key] for key in ENDPOINT_ENTRY if key != field}
+    read_beside_sound(context, document)
+
+
+@when("the store has an endpoint's entry whose {field} is a list beside a sound one")
+def read_with_list(context, field):
+    read_beside_sound(context, ENDPOINT_ENTRY | {field: []})
+
+
+@then("a log line names {field}")
+def check_logged(context, field):
+    assert any(field in line for line in context.lines), context.lines
+
+
+@then("both are read")
+def check_both(context):
+    assert [one.name for one in context.entries] == ["odd", "sound"], context.entries
+
+
 @when("the store has a router's entry with {fault} beside a sound one")
 def read_routers(context, fault):
     odd = make_item("pulley/routers/odd", ROUTER_ENTRIES[fault])
