Repeats of silent endpoints, cut streams and their deadlines are played too

Change: tests/budgets/starts plays silent endpoints, streams that are cut before and amid their events, and checks the deadline of each arrival.

--- a/tests/budgets/steps/starts.py
+++ b/tests/budgets/steps/starts.py
@@ -1,4 +1,4 @@
-"""Steps in which real routers are killed while callers send lookups."""
+"""Steps in which real routers are killed while callers send requests."""
 
 import asyncio
 import signal
@@ -18,7 +18,7 @@
     str(ROOT / "tests" / "direct" / "steps"),
 ]
 
-from scenes import LOOKUP, MAX_ATTEMPTS, send_call  # noqa: E402
+from scenes import CHAT, LOOKUP, send_call  # noqa: E402
 from soak import (  # noqa: E402
     FleetSize,
     close_fleet,
@@ -35,24 +35,33 @@
     "answer 500": Behavior.FAILING,
     "refuse": Behavior.FULL,
     "break off": Behavior.CUT_BODY,
+    "stay silent": Behavior.NO_ANSWER,
+    "cut events": Behavior.CUT_STREAM,
     "answer well": Behavior.NORMAL,
 }
+KINDS = {"lookups": ("shop", LOOKUP), "streams": ("model", CHAT)}
+TIMEOUT_MS = 1_000
+# Of both kinds of requests' routes.
+MAX_ATTEMPTS = 2
+# How much later than the caller's own deadline one that is passed on may end.
+DEADLINE_SLACK_MS = 500
 # Time before the first kill, and after the last one.
 BEFORE_MS = 4_000
 AFTER_MS = 3_000
 
 
 class Played:
-    """A fleet whose lookups are sent at a steady rate, and when they were sent."""
+    """A fleet to which requests are sent at a steady rate, and when they were sent."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, path):
         self.fleet = fleet
+        self.path = path
         self.sent_ms = []
         self.tasks = set()
 
 
 async def send_steadily(played, rate_per_s):
-    """Send lookups to the routers in turn; callers wait for no one's answer."""
+    """Send requests to the routers in turn; callers wait for no one's answer."""
     fleet, client = played.fleet, Client(connect_timeout_ms=500)
     try:
         for number in count():
@@ -61,9 +70,10 @@
             calling = send_call(
                 client,
                 slot.front_address,
-                LOOKUP,
-                request_id=f"lookup-{number}",
+                played.path,
+                request_id=f"request-{number}",
                 token=fleet.tokens[0],
+                timeout_ms=TIMEOUT_MS,
             )
             task = asyncio.create_task(calling)
             played.tasks.add(task)
@@ -81,15 +91,16 @@
     await asyncio.gather(*restarts)
 
 
-async def play(folder, behaviors, rate_per_s, n_kills):
-    """Play one fleet; return when lookups were sent and endpoints' requests."""
+async def play(folder, kind, behaviors, rate_per_s, n_kills):
+    """Play one fleet; return when requests were sent, and the endpoints."""
     fleet = await start_fleet(Path(folder), SIZE)
-    shops = [one for one in fleet.endpoints if one.service == "shop"]
+    service, path = KINDS[kind]
+    endpoints = [one for one in fleet.endpoints if one.service == service]
     try:
         await wait_all_ready(fleet)
-        for endpoint, behavior in zip(shops, behaviors):
+        for endpoint, behavior in zip(endpoints, behaviors):
             endpoint.behavior = behavior
-        played = Played(fleet)
+        played = Played(fleet, path)
         sending = asyncio.create_task(send_steadily(played, rate_per_s))
         await asyncio.sleep(to_seconds(BEFORE_MS))
         for _ in range(n_kills):
@@ -101,18 +112,26 @@
         await asyncio.wait({sending})
     finally:
         await close_fleet(fleet)
-    return played.sent_ms, shops
+    return played.sent_ms, endpoints
 
 
-def list_repeats_ms(endpoints):
-    """Return when requests arrived that had arrived somewhere before."""
-    arrivals = sorted(
-        (arrived_ms, header_text(request, b"attempt-id"))
+def list_arrivals(endpoints):
+    """Return the time, id and deadline header of all requests, in order of arrival."""
+    return sorted(
+        (
+            arrived_ms,
+            header_text(request, b"attempt-id"),
+            header_text(request, b"deadline-ms"),
+        )
         for endpoint in endpoints
         for arrived_ms, request in zip(endpoint.arrivals_ms, endpoint.requests)
     )
+
+
+def list_repeats_ms(endpoints):
+    """Return when requests arrived that had arrived somewhere before."""
     seen, repeats_ms = set(), []
-    for arrived_ms, request_id in arrivals:
+    for arrived_ms, request_id, _deadline in list_arrivals(endpoints):
         if request_id in seen:
             repeats_ms.append(arrived_ms)
         seen.add(request_id)
@@ -126,18 +145,28 @@
     context.behaviors = [BEHAVIORS[behavior]] * n_faulty + [Behavior.NORMAL] * n_sound
 
 
-@when("{rate:d} lookups a second are sent and all routers are killed {n:d} times")
-def send_while_killed(context, rate, n):
+@when("{rate:d} {kind} a second are sent and all routers are killed {n:d} times")
+def send_while_killed(context, rate, kind, n):
     with tempfile.TemporaryDirectory() as folder:
-        playing = play(folder, context.behaviors, rate, n)
+        playing = play(folder, kind, context.behaviors, rate, n)
         sent_ms, context.endpoints = asyncio.run(playing)
     context.traffic = Traffic(sent_ms, list_repeats_ms(context.endpoints))
 
 
-@then("no lookup ran at more endpoints than its route allows")
+@then("no request ran at more endpoints than its route allows")
 def check_attempts(context):
     n_ran = Counter()
     for endpoint in context.endpoints:
         n_ran.update(endpoint.runs.keys())
     most = max(n_ran.values(), default=0)
-    assert most <= MAX_ATTEMPTS["lookup"], n_ran.most_common(3)
+    assert most <= MAX_ATTEMPTS, n_ran.most_common(3)
+
+
+@then("no endpoint was handed more time than the caller had left")
+def check_deadlines(context):
+    ends_ms = {}
+    for arrived_ms, request_id, deadline in list_arrivals(context.endpoints):
+        left_ms = int(deadline)
+        assert left_ms <= TIMEOUT_MS, (request_id, deadline)
+        end_ms = ends_ms.setdefault(request_id, arrived_ms + left_ms)
+        assert arrived_ms + left_ms <= end_ms + DEADLINE_SLACK_MS, request_id
