Heads of many lines count as memory, and refused ones are free at once

Cause: what a head takes as objects was counted nowhere, and the connection's task referred to the head of a refused request until its caller left. Ruled out: the bodies, a few bytes each, and the number of connections.

Change: a head that takes over 16 KB as objects reserves that in the account of bodies until its request is finished; reading a request and sending its response are two functions, so that nothing refers to the head meanwhile.

--- a/packages/direct/src/pulley_direct/requests/front.py
+++ b/packages/direct/src/pulley_direct/requests/front.py
@@ -51,7 +51,7 @@
     router.n_in_flight += 1
     try:
         timeout_ms = call.timeout_ms or DEFAULT_TIMEOUT_MS
-        body = await receive_body(router, request, upload, timeout_ms)
+        body = await receive_body(router, request, call, upload, timeout_ms)
         job = await admit(router, call, body, arrived_ms)
         job.holder = upload
         response = await dispatch(router, job)
--- a/packages/direct/src/pulley_direct/requests/uploads.py
+++ b/packages/direct/src/pulley_direct/requests/uploads.py
@@ -14,12 +14,18 @@
     reserve_answer,
 )
 
+from ..state.models import Call
 from ..state.routers import Router
 
 logger = logging.getLogger(__name__)
 
 # A body without a length reserves room in steps of this size.
 STEP_BYTES = 64 * 1024
+# What one line of a head, and one part of a prompt, take as objects.
+LINE_BYTES = 320
+PART_BYTES = 200
+# Heads that take no more than this have room beside their connection.
+SMALL_HEAD_BYTES = 16 * 1024
 # Room for a body comes as others are sent on or refused.
 RETRY_AFTER_MS = 500
 
@@ -28,25 +34,29 @@
 class Upload(Holder):
     """A request's reservation, its body as far as it has come, and how to interrupt it.
 
-    ``tail`` joins the last small pieces. ``has_yielded`` is set once another body needs
-    the room of this one.
+    ``n_head`` are the bytes of the reservation that are for its head. ``tail`` joins
+    the last small pieces. ``has_yielded`` is set once another body needs the room of
+    this one.
     """
 
     has_yielded: bool = False
+    n_head: int = 0
     interrupt: Callable[[], None] = lambda: None
     pieces: list[bytes] = field(default_factory=list)
     tail: bytearray = field(default_factory=bytearray)
 
 
 async def receive_body(
-    router: Router, request: Request, upload: Upload, timeout_ms: int
+    router: Router, request: Request, call: Call, upload: Upload, timeout_ms: int
 ) -> bytes:
     """Return a request's whole body.
 
-    Raises RequestRefused with 503 if there is no room for it, or if it has stalled and
-    another body needs its room, and with 408 if it is not whole within ``timeout_ms``.
+    The room for its head stays reserved beside that for the body. Raises RequestRefused
+    with 503 if there is no room for either, or if the body has stalled and another one
+    needs its room, and with 408 if it is not whole within ``timeout_ms``.
     """
-    reserve_room(router, upload, announced_bytes(request))
+    upload.n_head = measure_head(request, call)
+    reserve_room(router, upload, upload.n_head + announced_bytes(request))
     try:
         async with time_limit(timeout_ms), interruptible() as upload.interrupt:
             async for piece in request.body:
@@ -61,6 +71,12 @@
     return body
 
 
+def measure_head(request: Request, call: Call) -> int:
+    """Return what a large head takes as objects, in bytes; 0 for any other."""
+    n_bytes = len(request.headers) * LINE_BYTES + len(call.parts) * PART_BYTES
+    return n_bytes if n_bytes > SMALL_HEAD_BYTES else 0
+
+
 def announced_bytes(request: Request) -> int:
     """Return the length that a request's head announces for its body, 0 for none."""
     length = find_header(request.headers, b"content-length")
@@ -72,7 +88,7 @@
 
     Raises RequestRefused if there is no room for it.
     """
-    lacking = upload.n_received + len(piece) - upload.n_bytes
+    lacking = upload.n_head + upload.n_received + len(piece) - upload.n_bytes
     if lacking > 0:
         reserve_room(router, upload, max(lacking, STEP_BYTES))
     record_received(upload, len(piece), router.clock.now_ms())
@@ -88,7 +104,7 @@
         return
     yielding = reserve(router.account, upload, n_bytes, router.clock.now_ms())
     if yielding is None:
-        raise no_room(f"no room for {n_bytes} more bytes of the body")
+        raise no_room(f"no room for {n_bytes} more bytes of the request")
     interrupt_all(router, yielding)
 
 
--- a/packages/http/src/pulley_http/server_loops.py
+++ b/packages/http/src/pulley_http/server_loops.py
@@ -62,31 +62,42 @@
 
 async def serve_request(connection: HttpConnection) -> bool:
     """Read and answer one request; return whether another may follow."""
+    response = await find_response(connection)
+    if response is None:
+        return False
+    await send_response(connection, response)
+    connection.handling = False
+    connection.waits_since_ms = connection.server.clock.now_ms()
+    return is_reusable(connection)
+
+
+async def find_response(connection: HttpConnection) -> Response | None:
+    """Read one request and return its response; None at the connection's end.
+
+    Nothing refers to the request's head any more while the response is sent, unless the
+    response does: a refused caller may leave its connection open for long.
+    """
     try:
         head = await read_head(connection)
         if head is None:
-            return False
+            return None
         connection.n_requests += 1
         connection.waits_since_ms = None
         request = build_request(connection, head)
         connection.method = request.method
         connection.handling = True
-        response = await connection.server.handler(request)
+        return await connection.server.handler(request)
     except RequestRefused as refusal:
         connection.server.on_refused(refusal)
-        response = build_refusal_response(connection, refusal)
+        return build_refusal_response(connection, refusal)
     except h11.RemoteProtocolError as error:
         refusal = parse_error_refusal(error)
         connection.server.on_refused(refusal)
-        response = build_refusal_response(connection, refusal)
+        return build_refusal_response(connection, refusal)
     except Exception as error:
         warn_event(logger, "handler_failed", peer=connection.peer, error=repr(error))
         logger.debug("handler_failed", exc_info=error)
-        response = internal_error()
-    await send_response(connection, response)
-    connection.handling = False
-    connection.waits_since_ms = connection.server.clock.now_ms()
-    return is_reusable(connection)
+        return internal_error()
 
 
 def build_refusal_response(
--- a/tests/hostile/crowds.py
+++ b/tests/hostile/crowds.py
@@ -16,6 +16,10 @@
 TINY_CHUNK = b"2\r\nxx\r\n"
 N_TINY_CHUNKS = 32 * 1024
 N_TINY_CHUNKS_PER_PIECE = 1_024
+SHORT_LINE = b"x:\r\n"
+SHORT_PART = "a:1,"
+# Of the limit on heads, left for what the router counts besides.
+HEAD_MARGIN_BYTES = 200
 # A client whose bytes are not taken for this long has sent all that it can.
 BLOCKED_S = 3.0
 
@@ -96,6 +100,23 @@
         yield TINY_CHUNK * N_TINY_CHUNKS_PER_PIECE
 
 
+async def stop_short_behind_lines() -> AsyncIterator[bytes]:
+    """A body that stops short behind as many header lines as a head may have."""
+    ending = "\r\n\r\n"
+    start = head("Transfer-Encoding: chunked", "Deadline-Ms: 60000", ending="\r\n")
+    n_lines = (MAX_HEAD_BYTES - len(start) - HEAD_MARGIN_BYTES) // len(SHORT_LINE)
+    yield start + SHORT_LINE * n_lines + ending[2:].encode() + make_chunk(2)
+
+
+async def stop_short_behind_parts() -> AsyncIterator[bytes]:
+    """A body that stops short behind a prompt of as many parts as a head may have."""
+    start = head("Transfer-Encoding: chunked", "Deadline-Ms: 60000")
+    n_parts = (MAX_HEAD_BYTES - len(start) - HEAD_MARGIN_BYTES) // len(SHORT_PART)
+    parts = f"Prompt-Prefix: {SHORT_PART * n_parts}{SHORT_PART[:-1]}"
+    yield head("Transfer-Encoding: chunked", "Deadline-Ms: 60000", parts)
+    yield make_chunk(2)
+
+
 async def send_nothing() -> AsyncIterator[bytes]:
     """No bytes at all."""
     return
@@ -110,6 +131,8 @@
     "empty lines without an end": send_empty_lines,
     "large chunks that stop short": stop_short,
     "very small chunks that stop short": stop_short_tiny,
+    "many short lines before a body that stops short": stop_short_behind_lines,
+    "many short parts before a body that stops short": stop_short_behind_parts,
     "nothing": send_nothing,
 }
 
--- a/tests/hostile/hostile.feature
+++ b/tests/hostile/hostile.feature
@@ -32,6 +32,21 @@
     And an ordinary request is answered while the crowd stays
     And the largest allowed request is answered once the crowd has left
 
+  # Guards against heads inside the limit that cost many times their bytes as objects,
+  # and are held for as long as their bodies don't end.
+  Scenario Outline: A crowd that sends <what>
+    Given a router with 64 MB of memory and 656 descriptors
+    When 110 clients send <what>
+    Then the router's process lives
+    And it never held more than 64 MB
+    And an ordinary request is answered while the crowd stays
+    And the largest allowed request is answered once the crowd has left
+
+    Examples: Heads
+      | what                                            |
+      | many short lines before a body that stops short |
+      | many short parts before a body that stops short |
+
   # A process without descriptors reaches neither endpoints nor the store.
   Scenario: A crowd that opens connections and sends nothing
     Given a router with 64 MB of memory and 456 descriptors
