--- a/packages/policy/src/pulley_policy/retry_shares.py
+++ b/packages/policy/src/pulley_policy/retry_shares.py
@@ -13,21 +13,24 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # The part of a router's share of the slack that it may save up.
 SAVED_PART = 0.8
 # The part of the ratio that a router earns with each request.
 EARNED_PART = 0.75
+# The requests of the last window are counted in so many slices of it.
+N_SLICES = 10
 
 
 @dataclass(slots=True)
 class SharedRetryBudget:
     """One router's part of a retry budget; times are clock readings in ms.
 
-    ``left`` is the number of retries that it has at ``filled_ms``. ``n_requests`` are
-    its requests since ``half_began_ms``, ``n_before`` those of the half window before
-    that. ``has_share`` says that its share of the slack has begun.
+    ``left`` is the number of retries that it has at ``filled_ms``. ``n_requests``
+    counts its requests in each of the window's last slices, as a ring in which
+    ``slice_number`` stands for the present one. ``has_share`` says that its share of
+    the slack has begun.
 
     >>> budget = SharedRetryBudget(ratio=0.2, window_ms=10_000, filled_ms=0)
     >>> spend_retry(budget, 0.0, 0, lambda: 0.5)
@@ -40,16 +43,15 @@
     window_ms: int
     filled_ms: int
     left: float = 0.0
-    n_requests: int = 0
-    n_before: int = 0
-    half_began_ms: int = 0
+    n_requests: list[int] = field(default_factory=lambda: [0] * N_SLICES)
+    slice_number: int = 0
     has_share: bool = False
 
 
 def earn_retry(budget: SharedRetryBudget, share: float, now_ms: int) -> None:
     """Credit one request; ``share`` is the router's part of the slack in retries."""
     refresh(budget, share, now_ms)
-    budget.n_requests += 1
+    budget.n_requests[budget.slice_number % N_SLICES] += 1
     budget.left += EARNED_PART * budget.ratio
     budget.left = min(budget.left, capacity(budget, share))
 
@@ -74,13 +76,13 @@
 
 def capacity(budget: SharedRetryBudget, share: float) -> float:
     """Return the most retries that a router may save up."""
-    n_recent = budget.n_requests + budget.n_before
+    n_recent = sum(budget.n_requests)
     return SAVED_PART * share + (1 - EARNED_PART) * budget.ratio * n_recent
 
 
 def refresh(budget: SharedRetryBudget, share: float, now_ms: int) -> None:
     """Add what has come with time, and drop what may not be saved up."""
-    begin_half(budget, now_ms)
+    begin_slice(budget, now_ms)
     passed = (now_ms - budget.filled_ms) / budget.window_ms
     budget.filled_ms = now_ms
     if budget.has_share:
@@ -91,12 +93,10 @@
     budget.left = min(budget.left, capacity(budget, share))
 
 
-def begin_half(budget: SharedRetryBudget, now_ms: int) -> None:
-    """Count the requests of another half window if the present one is over."""
-    half_ms = max(1, budget.window_ms // 2)
-    n_halves = (now_ms - budget.half_began_ms) // half_ms
-    if n_halves < 1:
-        return
-    budget.n_before = budget.n_requests if n_halves == 1 else 0
-    budget.n_requests = 0
-    budget.half_began_ms += n_halves * half_ms
+def begin_slice(budget: SharedRetryBudget, now_ms: int) -> None:
+    """Count on in the slice of ``now_ms``, and forget those a window ago."""
+    number = now_ms * N_SLICES // budget.window_ms
+    n_passed = number - budget.slice_number
+    for index in range(min(n_passed, N_SLICES)):
+        budget.n_requests[(number - index) % N_SLICES] = 0
+    budget.slice_number = number
--- a/tests/budgets/shares.feature
+++ b/tests/budgets/shares.feature
@@ -45,6 +45,16 @@
       | 46  | 300  | one every 50 ms   | after 500 ms |
       | 600 | 1200 | one every 20 ms   | after 500 ms |
 
+  # Guards against a bound that holds for steady traffic and regular kills alone.
+  Scenario Outline: <n> routers under any traffic and any kills
+    Then whatever is sent, fails and is killed, <n> routers keep to the budget
+
+    Examples:
+      | n  |
+      | 4  |
+      | 8  |
+      | 46 |
+
   # Guards against a reserve that is kept idle for starts that don't come.
   Scenario Outline: All requests at <n> routers fail after a calm minute
     Given <n> routers that hear of each other after 1000 ms
--- a/tests/budgets/steps/shares.py
+++ b/tests/budgets/steps/shares.py
@@ -30,7 +30,9 @@
 FAILING_MS = 40_000
 CALM_MS = 60_000
 STEP_MS = 50
+RANDOM_MS = 60_000
 SEED = 52
+N_SEEDS = 12
 CALL = Call("request-1", "pulley.example", "/x", "POST", "/x", [])
 USED_SHARE = 0.9
 
@@ -136,17 +138,43 @@
     return partial({"all": kill_all, "one": kill_next}[which], int(interval))
 
 
-@given("{n:d} routers that hear of each other {listed}")
-def start_fleet(context, n, listed):
-    listed_ms = None if listed == "never" else int(listed.split()[1])
-    fleet = context.fleet = SimulatedFleet(n, listed_ms)
-    context.traffic = fleet.traffic
+def make_fleet(n, listed_ms, seed=SEED):
+    """Return a fleet whose routers have just started."""
+    fleet = SimulatedFleet(n, listed_ms, random=Random(seed))
     for number in range(n):
         router = start_router(fleet, number)
         fleet.routers.append(router)
         fleet.started_ms.append(0)
         name = router.settings.instance
         fleet.entries[name] = RouterEntry(name, "127.0.0.1:4")
+    return fleet
+
+
+def play_at_random(fleet):
+    """Play spells in which the rate, failures and kills are drawn anew."""
+    draw = fleet.random
+    while fleet.now_ms < RANDOM_MS:
+        kill_share = draw.choice([0, 0, 0.001, 0.01, 0.1])
+
+        def kill(fleet, share=kill_share):
+            for number in range(fleet.n_routers):
+                if draw.random() < share:
+                    restart(fleet, number)
+
+        play(
+            fleet,
+            draw.randint(1, 12) * 1_000,
+            draw.choice([1, 10, 50, 200, 600]),
+            fails=draw.random() < 0.7,
+            kill=kill,
+        )
+
+
+@given("{n:d} routers that hear of each other {listed}")
+def start_fleet(context, n, listed):
+    listed_ms = None if listed == "never" else int(listed.split()[1])
+    context.fleet = make_fleet(n, listed_ms)
+    context.traffic = context.fleet.traffic
 
 
 @when("{rate:d} requests a second fail while routers are killed {kills}")
@@ -160,6 +188,15 @@
     play(context.fleet, WINDOW_MS, rate, fails=True)
 
 
+@then("whatever is sent, fails and is killed, {n:d} routers keep to the budget")
+def check_any(context, n):
+    for seed in range(N_SEEDS):
+        fleet = make_fleet(n, Random(seed).choice([100, 1_000, 4_000]), seed)
+        play_at_random(fleet)
+        worst = find_worst_window(fleet.traffic)
+        assert worst.excess <= 0, (seed, worst)
+
+
 @then("in no ten seconds there are more repeats than allowed")
 def check_allowed(context):
     worst = find_worst_window(context.traffic)
