Stand-ins' entries have all fields that endpoints write

The invalid entries of one scenario had a second fault of the same kind, so that each proved nothing.

Change: make_entry of the stand-ins writes every field, and all use it. Checks and bounds are as they were; no logic changes.

--- a/tests/direct/steps/crashing_part_unseen.py
+++ b/tests/direct/steps/crashing_part_unseen.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from behave import given, then, when
+from pulley_platform_standins.endpoints import make_entry
 from pulley_platform_standins.stores import put_document
 from scenes import (
     CHAT,
@@ -125,17 +126,7 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     scene.servers.append(server)
     host, port = server.sockets[0].getsockname()
-    document = {
-        "service": "model",
-        "address": f"{host}:{port}",
-        "zone": "here",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "coldLeftMs": 0,
-        "seq": 1,
-        "born": number,
-    }
+    document = make_entry("model", f"{host}:{port}", slots=8, born=number)
     put_document(fixture.store, f"servers/model-{number}", document)
 
 
--- a/tests/direct/steps/listings.py
+++ b/tests/direct/steps/listings.py
@@ -5,7 +5,12 @@
 import time
 
 from behave import then, when
-from pulley_platform_standins.endpoints import Behavior, list_endpoint, unlist_endpoint
+from pulley_platform_standins.endpoints import (
+    Behavior,
+    list_endpoint,
+    make_entry,
+    unlist_endpoint,
+)
 from pulley_platform_standins.stores import (
     StoreFault,
     compact_history,
@@ -65,8 +70,7 @@
     async def run():
         async with start_fixture() as fixture:
             store = fixture.store
-            valid_row = {"service": "shop", "address": "127.0.0.1:9", "zone": "here"}
-            valid_row |= {"slots": 4, "state": "ready"}
+            valid_row = make_entry("shop", "127.0.0.1:9")
             invalid_rows = [
                 valid_row | {"state": "resting"},
                 valid_row | {"slots": "four"},
@@ -141,8 +145,8 @@
     async def run():
         async with start_fixture() as fixture:
             model = find_endpoints(fixture, "model")[0]
-            row = {"service": "shop", "address": model.address, "zone": "here"}
-            row |= {"slots": 99, "state": "ready", "born": int(time.time() * 1_000)}
+            born_ms = int(time.time() * 1_000)
+            row = make_entry("shop", model.address, slots=99, born=born_ms)
             put_document(fixture.store, "servers/shop-old", row)
             await asyncio.sleep(0.3)
             # Make the valid endpoint look busy, so that the stale one is chosen first.
--- a/tests/direct/steps/timed_endpoints.py
+++ b/tests/direct/steps/timed_endpoints.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from pulley_platform_standins.endpoints import make_entry
 from pulley_platform_standins.stores import put_document
 
 Answer = Callable[[asyncio.StreamWriter], Awaitable[None]]
@@ -40,15 +41,7 @@
 def list_raw_endpoint(store, server: asyncio.Server, service: str) -> None:
     """List a raw endpoint in the store, under the name ``raw``."""
     port = server.sockets[0].getsockname()[1]
-    document = {
-        "service": service,
-        "address": f"127.0.0.1:{port}",
-        "zone": "here",
-        "slots": 4,
-        "state": "ready",
-        "seq": 1,
-    }
-    put_document(store, "servers/raw", document)
+    put_document(store, "servers/raw", make_entry(service, f"127.0.0.1:{port}"))
 
 
 def answer_head(framing: str, request_id: str = "request-1") -> bytes:
