What was played of a fleet is a data class

At a last reading of the diff: a class of the budget's steps wrote its own constructor, where the project has data classes. No behaviour changes.

--- a/tests/budgets/steps/starts.py
+++ b/tests/budgets/steps/starts.py
@@ -5,6 +5,7 @@
 import sys
 import tempfile
 from collections import Counter
+from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
 
@@ -20,6 +21,7 @@
 
 from scenes import CHAT, LOOKUP, send_call  # noqa: E402
 from soak import (  # noqa: E402
+    Fleet,
     FleetSize,
     close_fleet,
     start_fleet,
@@ -50,14 +52,14 @@
 AFTER_MS = 3_000
 
 
+@dataclass(slots=True)
 class Played:
     """A fleet to which requests are sent at a steady rate, and when they were sent."""
 
-    def __init__(self, fleet, path):
-        self.fleet = fleet
-        self.path = path
-        self.sent_ms = []
-        self.tasks = set()
+    fleet: Fleet
+    path: str
+    sent_ms: list[int] = field(default_factory=list)
+    tasks: set[asyncio.Task] = field(default_factory=set)
 
 
 async def send_steadily(played, rate_per_s):
